--- /dev/null
+++ b/bin/dandelionramp-quickstart.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runQuickstart } from "../dist/commands/quickstart.js";
+
+await runQuickstart();
--- /dev/null
+++ b/src/adapters/operatorServer.ts
@@ -0,0 +1,166 @@
+/** The operators' port: health, metrics, time line, and orders. */
+import { IncomingMessage, ServerResponse } from "node:http";
+import { z } from "zod";
+import {
+    BodyTooLargeError,
+    ChangeOutcome,
+    ChangeUncertainError,
+    configurationKinds,
+    describeError,
+    EntryNode,
+    InvalidObjectError,
+    listen,
+    Listener,
+    ObjectKind,
+    readBody,
+    requestTarget,
+    sendJson,
+} from "../internal.js";
+
+const bodyLimitBytes = 1024 * 1024;
+const changeSchema = z.strictObject({
+    /** A missing value removes the object. */
+    value: z.unknown().optional(),
+    expectedVersion: z.number().int().min(0).optional(),
+});
+const objectPath = /^\/objects\/([A-Za-z]+)(?:\/([^/]+))?$/;
+const restrictionPath = /^\/(out|in)\/(dataCentre|instance)\/([^/]+)$/;
+
+const changeStatus = (outcome: ChangeOutcome): number =>
+    outcome.type === "Conflict" ? 409 : outcome.type === "Provisional" ? 202 : 200;
+
+const kindOf = (text: string): ObjectKind | undefined => configurationKinds.find(kind => kind === text);
+
+const readChange = async (request: IncomingMessage): Promise<z.infer<typeof changeSchema>> => {
+    const text = (await readBody(request, bodyLimitBytes)).toString("utf8");
+    try {
+        return changeSchema.parse(JSON.parse(text));
+    }
+    catch (error) {
+        throw new InvalidObjectError(`the order is no valid change: ${describeError(error)}`, { cause: error });
+    }
+};
+
+/** What `dandelionramp status` shows. */
+const statusOf = (node: EntryNode): object => ({
+    instance: node.identity.id,
+    incarnation: node.incarnation,
+    dataCentre: node.identity.dataCentre,
+    ready: node.ready,
+    accepting: node.accepting,
+    platformDown: node.health.down,
+    configurationRevision: node.configuration.revision,
+    activeRequests: node.activeRequests,
+    waitingRequests: node.placer.waiting(),
+    provisionalOuts: node.restrictions.pending(),
+    peers: node.membership.peers().map(peer => ({
+        id: peer.record.id,
+        answers: node.membership.answers(peer),
+        configurationRevision: peer.heartbeat?.configurationRevision ?? 0,
+    })),
+    endpoints: node.table.all().map(endpoint => ({
+        id: endpoint.id,
+        service: endpoint.record.service,
+        dataCentre: endpoint.record.dataCentre,
+        trust: node.table.trust(endpoint).type,
+        restricted: node.restrictions.forbids(endpoint.record),
+        home: node.homes.homeOf(endpoint.id),
+        inFlight: endpoint.inFlight.size,
+        running: endpoint.report?.running ?? 0,
+    })),
+});
+
+const sendMetrics = (node: EntryNode, response: ServerResponse): void => {
+    const text = node.metrics.text({
+        active_requests: node.activeRequests,
+        waiting_requests: node.placer.waiting(),
+        configuration_revision: node.configuration.revision,
+        platform_down: node.health.down ? 1 : 0,
+        engine_holdings: node.holdings.count,
+    });
+    response.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text);
+};
+
+const serveObject = async (
+    node: EntryNode,
+    request: IncomingMessage,
+    response: ServerResponse,
+    kind: ObjectKind,
+    name: string | undefined,
+): Promise<void> => {
+    if (name === undefined) {
+        sendJson(response, 200, { objects: node.configuration.all(kind) });
+        return;
+    }
+    if (request.method === "GET") {
+        const object = node.configuration.object(kind, name);
+        sendJson(response, object ? 200 : 404, object ?? { error: `there is no ${kind} "${name}"` });
+        return;
+    }
+    const { value, expectedVersion } = await readChange(request);
+    const outcome = await node.operations.change(kind, name, value, expectedVersion);
+    sendJson(response, changeStatus(outcome), outcome);
+};
+
+const route = async (node: EntryNode, request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const { method, path, query } = requestTarget(request);
+    if (path === "/healthz") {
+        sendJson(response, 200, { alive: true });
+        return;
+    }
+    if (path === "/readyz") {
+        sendJson(response, node.accepting ? 200 : 503, { ready: node.ready, accepting: node.accepting });
+        return;
+    }
+    if (path === "/metrics") {
+        sendMetrics(node, response);
+        return;
+    }
+    if (path === "/status") {
+        sendJson(response, 200, statusOf(node));
+        return;
+    }
+    if (path === "/events") {
+        sendJson(response, 200, node.ports.timeline.page(Number(query.get("from") ?? 0)));
+        return;
+    }
+    const restriction = restrictionPath.exec(path);
+    if (restriction && method === "POST") {
+        const [, direction, kind, name] = restriction as unknown as [string, string, "dataCentre" | "instance", string];
+        const outcome = direction === "out"
+            ? await node.operations.takeOut(kind, decodeURIComponent(name))
+            : await node.operations.bringIn(kind, decodeURIComponent(name));
+        sendJson(response, changeStatus(outcome), outcome);
+        return;
+    }
+    const [, kindText = "", name] = objectPath.exec(path) ?? [];
+    const kind = kindOf(kindText);
+    if (kind) {
+        await serveObject(node, request, response, kind, name && decodeURIComponent(name));
+        return;
+    }
+    sendJson(response, 404, { error: `there is no ${method} ${path}; kinds are ${configurationKinds.join(", ")}` });
+};
+
+const answerError = (response: ServerResponse, error: unknown): void => {
+    if (error instanceof InvalidObjectError || error instanceof BodyTooLargeError) {
+        sendJson(response, 400, { error: error.message });
+        return;
+    }
+    if (error instanceof ChangeUncertainError) {
+        sendJson(response, 503, { error: error.message });
+        return;
+    }
+    sendJson(response, 500, { error: describeError(error) });
+};
+
+/** Serves operators of `node` at `address`. */
+export const serveOperators = (node: EntryNode, address: string): Promise<Listener> =>
+    listen(address, async (request, response) => {
+        try {
+            await route(node, request, response);
+        }
+        catch (error) {
+            answerError(response, error);
+        }
+    });
--- /dev/null
+++ b/src/adapters/peerClient.ts
@@ -0,0 +1,85 @@
+/** Calls to peers, as JSON-RPC 2.0 over HTTP. */
+import { JSONRPCClient, JSONRPCResponse } from "json-rpc-2.0";
+import {
+    ClaimProgress,
+    Clock,
+    describeError,
+    exchangeJson,
+    Heartbeat,
+    PeerConfiguration,
+    PeerLostError,
+    PeerMethod,
+    PeerPort,
+    PermitAnswer,
+    PermitRequest,
+    within,
+} from "../internal.js";
+
+const callMilliseconds = 800;
+
+/** A client of peers. */
+export class PeerClient implements PeerPort {
+    private readonly clients = new Map<string, JSONRPCClient>();
+
+    constructor(private readonly clock: Clock) {}
+
+    heartbeat(address: string, heartbeat: Heartbeat): Promise<Heartbeat> {
+        return this.call(address, PeerMethod.Heartbeat, { heartbeat });
+    }
+
+    configurationSince(address: string, revision: number): Promise<PeerConfiguration> {
+        return this.call(address, PeerMethod.ConfigurationSince, { revision });
+    }
+
+    requestPermit(address: string, request: PermitRequest): Promise<PermitAnswer> {
+        return this.call(address, PeerMethod.RequestPermit, { request });
+    }
+
+    async returnPermit(address: string, request: PermitRequest, succeeded: boolean): Promise<void> {
+        await this.call(address, PeerMethod.ReturnPermit, { request, succeeded });
+    }
+
+    claimProgress(address: string, claimName: string, nonce: string): Promise<ClaimProgress> {
+        return this.call(address, PeerMethod.ClaimProgress, { claimName, nonce });
+    }
+
+    liveHoldings(address: string, holdingIds: string[]): Promise<{ incarnation: string; live: string[]; }> {
+        return this.call(address, PeerMethod.LiveHoldings, { holdingIds });
+    }
+
+    private async call<Result>(address: string, method: PeerMethod, parameters: object): Promise<Result> {
+        try {
+            return await within(
+                this.clock,
+                callMilliseconds,
+                `the peer's ${method}`,
+                async () => await this.clientOf(address).request(method, parameters) as Result,
+            );
+        }
+        catch (error) {
+            throw new PeerLostError(`${address}: ${describeError(error)}`, { cause: error });
+        }
+    }
+
+    private clientOf(address: string): JSONRPCClient {
+        let client = this.clients.get(address);
+        if (!client) {
+            client = this.newClient(address);
+            this.clients.set(address, client);
+        }
+        return client;
+    }
+
+    private newClient(address: string): JSONRPCClient {
+        const client: JSONRPCClient = new JSONRPCClient(async payload => {
+            const answer = await within(
+                this.clock,
+                callMilliseconds,
+                "a peer",
+                signal => exchangeJson({ address, method: "POST", path: "/rpc", signal }, payload),
+            );
+            client.receive(answer.value as JSONRPCResponse);
+        });
+        return client;
+    }
+}
--- /dev/null
+++ b/src/commands/entry.ts
@@ -0,0 +1,23 @@
+/** `dandelionramp-entry`: the one long-lived process of an instance. */
+import { Flags } from "@oclif/core";
+import { entrySettingsSchema, readSettings, startEntry, systemClock, systemRandom } from "../internal.js";
+import { ProgramCommand, stopRequested } from "./program.js";
+
+/** Runs an entry until SIGTERM, then drains it. */
+export default class EntryCommand extends ProgramCommand {
+    static override description =
+        "Run one entry: callers, peers and operators each have their port. SIGTERM drains it.";
+    static override examples = ["<%= config.bin %> --settings examples/local/entry-1.ini"];
+    static override flags = {
+        settings: Flags.string({ description: "settings file in INI", required: true }),
+    };
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(EntryCommand);
+        const settings = readSettings(flags.settings, entrySettingsSchema);
+        const entry = await startEntry(settings, systemClock, systemRandom);
+        await stopRequested();
+        await entry.drain();
+        this.exit(0);
+    }
+}
--- /dev/null
+++ b/src/commands/operator/index.ts
@@ -0,0 +1,263 @@
+/** `dandelionramp`: what operators do, through the operators' port of any entry. */
+import { Args, Flags } from "@oclif/core";
+import { readFileSync } from "node:fs";
+import { configurationKinds, describeError, exchangeJson, JsonAnswer, SettingsError } from "../../internal.js";
+import { ProgramCommand, usageExitCode } from "../program.js";
+
+const defaultAddress = "127.0.0.1:8280";
+const failedExitCode = 1;
+const addressFlag = {
+    entry: Flags.string({
+        description: "operators' port of an entry, as host:port",
+        default: defaultAddress,
+        env: "DANDELIONRAMP_ENTRY",
+    }),
+};
+const readFlags = { ...addressFlag, json: Flags.boolean({ description: "print JSON" }) };
+const kindArgument = Args.string({ description: `one of ${configurationKinds.join(", ")}`, required: true });
+const nameArgument = Args.string({ description: "name of the object", required: true });
+
+abstract class OperatorCommand extends ProgramCommand {
+    protected async ask(entry: string, method: string, path: string, value?: unknown): Promise<JsonAnswer> {
+        try {
+            return await exchangeJson({ address: entry, method, path }, value);
+        }
+        catch (error) {
+            return this.error(`the entry at ${entry} does not answer: ${describeError(error)}`, {
+                exit: failedExitCode,
+            });
+        }
+    }
+
+    /** Prints a read's answer, or ends with its error. */
+    protected show(answer: JsonAnswer, json: boolean, text: (value: never) => string): void {
+        if (answer.status !== 200) {
+            this.error((answer.value as { error: string; }).error, { exit: failedExitCode });
+        }
+        this.log(json ? JSON.stringify(answer.value, undefined, 4) : text(answer.value as never));
+    }
+
+    /** Prints what became of a change, or ends with its error. */
+    protected report(answer: JsonAnswer, subject: string): void {
+        const outcome = answer.value as {
+            type?: string;
+            version?: number;
+            current?: { version: number; };
+            error?: string;
+        };
+        if (outcome.type === "Accepted") {
+            this.log(`${subject}: accepted as version ${outcome.version}.`);
+            return;
+        }
+        if (outcome.type === "Provisional") {
+            this.log(`${subject}: provisional. The platform is down; it is written when the platform returns.`);
+            return;
+        }
+        if (outcome.type === "Conflict") {
+            const found = outcome.current ? `version ${outcome.current.version} is there now` : "it is not there";
+            this.error(`${subject}: refused, somebody else changed it; ${found}.`, { exit: failedExitCode });
+        }
+        this.error(outcome.error ?? `${subject}: the entry answered ${answer.status}`, { exit: failedExitCode });
+    }
+}
+
+interface StatusView {
+    instance: string;
+    dataCentre: string;
+    accepting: boolean;
+    platformDown: boolean;
+    configurationRevision: number;
+    activeRequests: number;
+    waitingRequests: number;
+    provisionalOuts: { kind: string; name: string; }[];
+    peers: { id: string; answers: boolean; configurationRevision: number; }[];
+    endpoints: {
+        id: string;
+        dataCentre: string;
+        trust: string;
+        restricted: boolean;
+        home?: string;
+        inFlight: number;
+        running: number;
+    }[];
+}
+
+const statusText = (status: StatusView): string => {
+    const lines = [
+        `${status.instance} in ${status.dataCentre}: ${status.accepting ? "accepting" : "not accepting"}, `
+        + `platform ${status.platformDown ? "down" : "up"}, configuration revision ${status.configurationRevision}`,
+        `requests: ${status.activeRequests} active, ${status.waitingRequests} waiting`,
+    ];
+    for (const out of status.provisionalOuts) {
+        lines.push(`provisional out: ${out.kind} ${out.name}`);
+    }
+    for (const peer of status.peers) {
+        lines.push(`peer ${peer.id}: ${peer.answers ? "answers" : "silent"}, revision ${peer.configurationRevision}`);
+    }
+    for (const endpoint of status.endpoints) {
+        const restricted = endpoint.restricted ? ", takes no new work" : "";
+        lines.push(
+            `endpoint ${endpoint.id} in ${endpoint.dataCentre}: ${endpoint.trust.toLowerCase()}${restricted}, `
+                + `home ${endpoint.home ?? "none"}, ${endpoint.inFlight} from here, ${endpoint.running} reported`,
+        );
+    }
+    return lines.join("\n");
+};
+
+class StatusCommand extends OperatorCommand {
+    static override description = "Show what an entry knows: peers, endpoints, requests, provisional outs.";
+    static override examples = ["<%= config.bin %> status", "<%= config.bin %> status --json"];
+    static override flags = readFlags;
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(StatusCommand);
+        this.show(await this.ask(flags.entry, "GET", "/status"), flags.json, statusText);
+    }
+}
+
+interface ObjectView {
+    name: string;
+    version: number;
+    value: unknown;
+}
+
+class ListCommand extends OperatorCommand {
+    static override description = "List the objects of one kind.";
+    static override examples = ["<%= config.bin %> list profile", "<%= config.bin %> list customer --json"];
+    static override flags = readFlags;
+    static override args = { kind: kindArgument };
+
+    async run(): Promise<void> {
+        const { flags, args } = await this.parse(ListCommand);
+        const answer = await this.ask(flags.entry, "GET", `/objects/${args.kind}`);
+        this.show(
+            answer,
+            flags.json,
+            ({ objects }: { objects: ObjectView[]; }) =>
+                objects.map(object => `${object.name}  version ${object.version}`).join("\n"),
+        );
+    }
+}
+
+class ShowCommand extends OperatorCommand {
+    static override description = "Show one object with its version.";
+    static override examples = ["<%= config.bin %> show service standin"];
+    static override flags = readFlags;
+    static override args = { kind: kindArgument, name: nameArgument };
+
+    async run(): Promise<void> {
+        const { flags, args } = await this.parse(ShowCommand);
+        const answer = await this.ask(flags.entry, "GET", `/objects/${args.kind}/${encodeURIComponent(args.name)}`);
+        this.show(
+            answer,
+            flags.json,
+            (object: ObjectView) => `version ${object.version}\n${JSON.stringify(object.value, undefined, 4)}`,
+        );
+    }
+}
+
+const changeFlags = {
+    ...addressFlag,
+    "expected-version": Flags.integer({
+        description: "version you looked at; the change is refused when somebody wrote since",
+        min: 0,
+    }),
+};
+
+class SetCommand extends OperatorCommand {
+    static override description = "Write an object. Fields that are left out get their defaults.";
+    static override examples = [
+        "<%= config.bin %> set profile patient --value '{\"defaultTimeoutMilliseconds\": 120000}'",
+        "<%= config.bin %> set customer kalahari --file customer.json --expected-version 12",
+    ];
+    static override flags = {
+        ...changeFlags,
+        file: Flags.string({ description: "JSON file with the value", exclusive: ["value"] }),
+        value: Flags.string({ description: "the value as JSON", exclusive: ["file"] }),
+    };
+    static override args = { kind: kindArgument, name: nameArgument };
+
+    async run(): Promise<void> {
+        const { flags, args } = await this.parse(SetCommand);
+        const path = `/objects/${args.kind}/${encodeURIComponent(args.name)}`;
+        const value = this.readValue(flags.file, flags.value);
+        const answer = await this.ask(flags.entry, "PUT", path, { value, expectedVersion: flags["expected-version"] });
+        this.report(answer, `${args.kind} ${args.name}`);
+    }
+
+    private readValue(file: string | undefined, value: string | undefined): unknown {
+        if (file === undefined && value === undefined) {
+            return this.error("expected --file or --value", { exit: usageExitCode });
+        }
+        try {
+            return JSON.parse(value ?? readFileSync(file!, "utf8")) as unknown;
+        }
+        catch (error) {
+            throw new SettingsError(`${file ?? "--value"}: expected JSON: ${describeError(error)}`, { cause: error });
+        }
+    }
+}
+
+class RemoveCommand extends OperatorCommand {
+    static override description = "Remove an object.";
+    static override examples = ["<%= config.bin %> remove customer kalahari"];
+    static override flags = changeFlags;
+    static override args = { kind: kindArgument, name: nameArgument };
+
+    async run(): Promise<void> {
+        const { flags, args } = await this.parse(RemoveCommand);
+        const path = `/objects/${args.kind}/${encodeURIComponent(args.name)}`;
+        const answer = await this.ask(flags.entry, "DELETE", path, { expectedVersion: flags["expected-version"] });
+        this.report(answer, `${args.kind} ${args.name}`);
+    }
+}
+
+enum Direction {
+    Out = "out",
+    In = "in",
+}
+
+abstract class RestrictionCommand extends OperatorCommand {
+    static override flags = addressFlag;
+    static override args = { name: nameArgument };
+    protected abstract readonly direction: Direction;
+    protected abstract readonly kind: "dataCentre" | "instance";
+
+    async run(): Promise<void> {
+        const { flags, args } = await this.parse({ flags: addressFlag, args: { name: nameArgument } });
+        const path = `/${this.direction}/${this.kind}/${encodeURIComponent(args.name)}`;
+        const word = this.kind === "dataCentre" ? "data centre" : "instance";
+        this.report(await this.ask(flags.entry, "POST", path), `${word} ${args.name} ${this.direction}`);
+    }
+}
+
+const restrictionCommand = (
+    direction: Direction,
+    kind: "dataCentre" | "instance",
+    description: string,
+): typeof RestrictionCommand =>
+    class extends RestrictionCommand {
+        static override description = description;
+        static override examples = [
+            `<%= config.bin %> <%= command.id %> ${kind === "dataCentre" ? "north" : "engine-01"}`,
+        ];
+        protected override readonly direction = direction;
+        protected override readonly kind = kind;
+    };
+
+/** The commands by name. */
+export const commands = {
+    status: StatusCommand,
+    list: ListCommand,
+    show: ShowCommand,
+    set: SetCommand,
+    remove: RemoveCommand,
+    "data-centre:out": restrictionCommand(
+        Direction.Out,
+        "dataCentre",
+        "Take a data centre out: no new work after seconds.",
+    ),
+    "data-centre:in": restrictionCommand(Direction.In, "dataCentre", "Bring a data centre back in."),
+    "instance:out": restrictionCommand(Direction.Out, "instance", "Take an instance out: no new work after seconds."),
+    "instance:in": restrictionCommand(Direction.In, "instance", "Bring an instance back in."),
+};
--- /dev/null
+++ b/src/commands/program.ts
@@ -0,0 +1,40 @@
+/** Runs one of the programs through oclif; the package has several, each with its own commands. */
+import { Command, execute } from "@oclif/core";
+import { createRequire } from "node:module";
+import { fileURLToPath } from "node:url";
+import { SettingsError } from "../internal.js";
+
+/** Exit code for settings and flags that can't be used. */
+export const usageExitCode = 2;
+
+const root = fileURLToPath(new URL("../..", import.meta.url));
+
+/** How a program's commands are found. */
+export type ProgramCommands =
+    | { strategy: "single"; target: string; }
+    | { strategy: "explicit"; target: string; identifier: string; };
+
+/** Runs the program `bin` with the process's arguments. */
+export const runProgram = async (bin: string, commands: ProgramCommands): Promise<void> => {
+    const manifest = createRequire(import.meta.url)("../../package.json") as Record<string, unknown>;
+    const pjson = { ...manifest, oclif: { bin, commands, topicSeparator: " " } };
+    await execute({ dir: root, args: process.argv.slice(2), loadOptions: { root, pjson: pjson as never } });
+};
+
+/** Base of the commands: an unusable setting is one line and exit code 2. */
+export abstract class ProgramCommand extends Command {
+    protected override async catch(error: Error & { exitCode?: number; }): Promise<unknown> {
+        if (error instanceof SettingsError) {
+            process.stderr.write(`${error.message}\n`);
+            return this.exit(usageExitCode);
+        }
+        return super.catch(error);
+    }
+}
+
+/** Resolves at the first SIGTERM or SIGINT. */
+export const stopRequested = (): Promise<void> =>
+    new Promise(resolve => {
+        process.once("SIGTERM", () => resolve());
+        process.once("SIGINT", () => resolve());
+    });
--- /dev/null
+++ b/src/commands/timeline.ts
@@ -0,0 +1,75 @@
+/** `dandelionramp-timeline`: one time line of events over all processes. */
+import { Flags } from "@oclif/core";
+import { writeFileSync } from "node:fs";
+import { describeError, systemClock } from "../internal.js";
+import { ProgramCommand } from "./program.js";
+import {
+    collect,
+    CollectedPage,
+    merge,
+    MergedEvent,
+    timelineHtml,
+    timelineSvg,
+    timelineText,
+} from "./timelineMerge.js";
+
+enum Format {
+    Text = "text",
+    Json = "json",
+    Svg = "svg",
+    Html = "html",
+}
+
+const formatted = (format: Format, events: readonly MergedEvent[]): string => {
+    switch (format) {
+        case Format.Text:
+            return `${timelineText(events)}\n`;
+        case Format.Json:
+            return `${JSON.stringify(events, undefined, 4)}\n`;
+        case Format.Svg:
+            return timelineSvg(events);
+        case Format.Html:
+            return timelineHtml(events);
+    }
+};
+
+/** Collects, merges and prints. A process that doesn't answer is named on standard error and left out. */
+export default class TimelineCommand extends ProgramCommand {
+    static override description = "Merge the events of all processes into one time line, corrected for clock offsets.";
+    static override examples = [
+        "<%= config.bin %> --process 127.0.0.1:8280 --process 127.0.0.1:9101",
+        "<%= config.bin %> --process 127.0.0.1:8280 --request 4be1c0de0badf00d",
+        "<%= config.bin %> --process 127.0.0.1:8280 --format html --out timeline.html",
+    ];
+    static override flags = {
+        process: Flags.string({
+            description: "operators' port of an entry or control port of a stand-in; may be given several times",
+            multiple: true,
+            required: true,
+        }),
+        request: Flags.string({ description: "only events of this request" }),
+        format: Flags.option({ options: Object.values(Format), default: Format.Text, description: "how to print" })(),
+        out: Flags.string({ description: "file to write instead of standard output" }),
+    };
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(TimelineCommand);
+        const pages: CollectedPage[] = [];
+        for (const address of flags.process) {
+            try {
+                pages.push(await collect(systemClock, address));
+            }
+            catch (error) {
+                this.logToStderr(`${address} does not answer: ${describeError(error)}`);
+            }
+        }
+        const merged = merge(pages);
+        const events = flags.request === undefined ? merged : merged.filter(event => event.requestId === flags.request);
+        const text = formatted(flags.format, events);
+        if (flags.out !== undefined) {
+            writeFileSync(flags.out, text);
+            return;
+        }
+        process.stdout.write(text);
+    }
+}
--- /dev/null
+++ b/src/core/coldStart.ts
@@ -0,0 +1,189 @@
+/** Load for endpoints in cold start: permits at the home, raised by evidence. */
+import {
+    Clock,
+    Endpoint,
+    Homes,
+    Membership,
+    Milliseconds,
+    PeerLostError,
+    PeerPort,
+    PermitAnswer,
+    PermitRequest,
+    permitSendMilliseconds,
+    Profile,
+    Timeline,
+} from "../internal.js";
+
+/** How long a permit whose holder says nothing counts as in use. */
+const permitHoldMilliseconds = 30_000;
+
+/** Leave to send one request to an endpoint in cold start. */
+export interface Permit {
+    permitId: string;
+    endpoint: string;
+    /** The home that gave it. */
+    home: string;
+    /** The request must be sent before this moment of the sender's clock. */
+    sendBefore: Milliseconds;
+}
+
+interface Ledger {
+    /** Incarnation and last suspicion that the evidence is about: after either changed it proves nothing. */
+    subject: string;
+    limit: number;
+    successes: number;
+    outstanding: Map<string, Milliseconds>;
+}
+
+/** What cold start works with. */
+export interface ColdStartParts {
+    clock: Clock;
+    homes: Homes;
+    membership: Membership;
+    peers: PeerPort;
+    timeline: Timeline;
+    self: string;
+    endpoint: (id: string) => Endpoint | undefined;
+    profileFor: (endpoint: Endpoint) => Profile;
+}
+
+/**
+ * Gives, asks for and returns permits.
+ *
+ * The home counts its permits and what the engine itself reports, and takes the larger: permits of an earlier home
+ * still run on the engine. The limit grows by answers, never by time, because an endpoint that gets no work does not
+ * warm up.
+ */
+export class ColdStart {
+    private readonly ledgers = new Map<string, Ledger>();
+
+    constructor(private readonly parts: ColdStartParts) {}
+
+    /** Takes a permit as this endpoint's home; undefined when it isn't the home or the endpoint has its fill. */
+    takeOwn(endpoint: Endpoint, permitId: string): Permit | undefined {
+        if (this.grant(endpoint, permitId) === PermitAnswer.Denied) {
+            return undefined;
+        }
+        const sendBefore = this.parts.clock.now() + permitSendMilliseconds;
+        return { permitId, endpoint: endpoint.id, home: this.parts.self, sendBefore };
+    }
+
+    /** Asks the endpoint's home for a permit; undefined when it denies or doesn't answer. */
+    async ask(endpoint: Endpoint, permitId: string): Promise<Permit | undefined> {
+        const home = this.parts.homes.homeOf(endpoint.id);
+        const peer = home === undefined ? undefined : this.parts.membership.peer(home);
+        if (home === undefined || !peer) {
+            return undefined;
+        }
+        const sendBefore = this.parts.clock.now() + permitSendMilliseconds;
+        const request: PermitRequest = { instance: this.parts.self, endpoint: endpoint.id, permitId };
+        try {
+            const answer = await this.parts.peers.requestPermit(peer.record.address, request);
+            return answer === PermitAnswer.Granted
+                ? { permitId, endpoint: endpoint.id, home, sendBefore }
+                : undefined;
+        }
+        catch (error) {
+            if (error instanceof PeerLostError) {
+                return undefined;
+            }
+            throw error;
+        }
+    }
+
+    /** Whether a permit still allows its send. Ask in the same synchronous step as the send. */
+    usable(permit: Permit): boolean {
+        if (permit.home === this.parts.self && !this.parts.homes.mayAct(permit.endpoint)) {
+            return false;
+        }
+        return this.parts.clock.now() < permit.sendBefore;
+    }
+
+    /** Gives a permit back to its home with what came of it. */
+    async giveBack(permit: Permit, succeeded: boolean): Promise<void> {
+        const request: PermitRequest = {
+            instance: this.parts.self,
+            endpoint: permit.endpoint,
+            permitId: permit.permitId,
+        };
+        if (permit.home === this.parts.self) {
+            this.returned(request, succeeded);
+            return;
+        }
+        const peer = this.parts.membership.peer(permit.home);
+        try {
+            await (peer && this.parts.peers.returnPermit(peer.record.address, request, succeeded));
+        }
+        catch (error) {
+            // The home counts the permit until it expires; no harm but some slowness.
+            if (!(error instanceof PeerLostError)) {
+                throw error;
+            }
+        }
+    }
+
+    /** Answers a peer that asks this entry as home. */
+    answer(request: PermitRequest): PermitAnswer {
+        const endpoint = this.parts.endpoint(request.endpoint);
+        return endpoint ? this.grant(endpoint, request.permitId) : PermitAnswer.Denied;
+    }
+
+    /** Notes a permit that came back. */
+    returned(request: PermitRequest, succeeded: boolean): void {
+        const endpoint = this.parts.endpoint(request.endpoint);
+        const ledger = this.ledgers.get(request.endpoint);
+        if (!endpoint || !ledger || !ledger.outstanding.delete(request.permitId)) {
+            return;
+        }
+        const profile = this.parts.profileFor(endpoint);
+        if (!succeeded) {
+            ledger.limit = profile.coldConcurrency;
+            ledger.successes = 0;
+            return;
+        }
+        ledger.successes++;
+        if (ledger.successes >= profile.coldEvidence * ledger.limit) {
+            ledger.limit = Math.min(profile.warmConcurrency, ledger.limit + profile.coldConcurrency);
+            ledger.successes = 0;
+            this.parts.timeline.record("coldStart", "raised", undefined, `${endpoint.id} to ${ledger.limit}`);
+        }
+    }
+
+    /** Requests that the home would let onto a cold endpoint now. */
+    room(endpoint: Endpoint): number {
+        const ledger = this.ledger(endpoint);
+        return ledger.limit - Math.max(ledger.outstanding.size, endpoint.report?.running ?? 0);
+    }
+
+    private grant(endpoint: Endpoint, permitId: string): PermitAnswer {
+        if (!this.parts.homes.mayAct(endpoint.id) || endpoint.trust(this.parts.clock.now()).type === "Closed") {
+            return PermitAnswer.Denied;
+        }
+        const ledger = this.ledger(endpoint);
+        if (ledger.outstanding.has(permitId)) {
+            return PermitAnswer.Granted;
+        }
+        if (this.room(endpoint) < 1) {
+            return PermitAnswer.Denied;
+        }
+        ledger.outstanding.set(permitId, this.parts.clock.now() + permitHoldMilliseconds);
+        return PermitAnswer.Granted;
+    }
+
+    private ledger(endpoint: Endpoint): Ledger {
+        const subject = `${endpoint.report?.incarnation}/${endpoint.suspectedAt}`;
+        let ledger = this.ledgers.get(endpoint.id);
+        if (!ledger || ledger.subject !== subject) {
+            const limit = this.parts.profileFor(endpoint).coldConcurrency;
+            ledger = { subject, limit, successes: 0, outstanding: ledger?.outstanding ?? new Map() };
+            this.ledgers.set(endpoint.id, ledger);
+        }
+        const now = this.parts.clock.now();
+        for (const [permitId, expiresAt] of ledger.outstanding) {
+            if (expiresAt <= now) {
+                ledger.outstanding.delete(permitId);
+            }
+        }
+        return ledger;
+    }
+}
--- /dev/null
+++ b/src/core/entryNode.ts
@@ -0,0 +1,380 @@
+/** One entry: its parts wired together, its tasks, and its planned stop. */
+import {
+    Claims,
+    Clock,
+    ColdStart,
+    Configuration,
+    describeError,
+    Endpoint,
+    EndpointReport,
+    EndpointTable,
+    EnginePort,
+    Gangs,
+    Generations,
+    Heartbeat,
+    Holdings,
+    Homes,
+    InstanceRecord,
+    InstanceRole,
+    InstanceState,
+    Membership,
+    Metrics,
+    Milliseconds,
+    nextOfAny,
+    Operations,
+    PartLog,
+    PeerConfiguration,
+    PeerPort,
+    Placer,
+    PlatformHealth,
+    PlatformPort,
+    Random,
+    randomIdentifier,
+    relistConfiguration,
+    Restrictions,
+    RetryBudget,
+    Router,
+    ServiceCalls,
+    ServicePort,
+    Suspects,
+    Timeline,
+    watchConfiguration,
+} from "../internal.js";
+
+/** How long a stopping entry still takes what a lagging balancer sends. */
+export const lameDuckMilliseconds = 2_000;
+const drainLookMilliseconds = 50;
+
+/** What the world outside gives an entry. */
+export interface EntryPorts {
+    clock: Clock;
+    random: Random;
+    platform: PlatformPort;
+    engines: EnginePort;
+    services: ServicePort;
+    peers: PeerPort;
+    /** A log whose lines begin with the part's name. */
+    log: (part: string) => PartLog;
+    timeline: Timeline;
+}
+
+/** Who an entry is. */
+export interface EntryIdentity {
+    id: string;
+    dataCentre: string;
+    /** Address of its peer port. */
+    peersAddress: string;
+    /** Peers to learn from when the platform is down at start. */
+    seeds: readonly string[];
+}
+
+/** The core of one entry. */
+export class EntryNode {
+    readonly incarnation: string;
+    readonly configuration: Configuration;
+    readonly restrictions: Restrictions;
+    readonly health: PlatformHealth;
+    readonly membership: Membership;
+    readonly table: EndpointTable;
+    readonly homes: Homes;
+    readonly coldStart: ColdStart;
+    readonly suspects: Suspects;
+    readonly placer: Placer;
+    readonly holdings: Holdings;
+    readonly generations: Generations;
+    readonly claims: Claims;
+    readonly serviceCalls: ServiceCalls;
+    readonly operations: Operations;
+    readonly metrics = new Metrics();
+    /** Requests of callers that are being served. */
+    activeRequests = 0;
+    private state = InstanceState.Live;
+    private readonly stopping = new AbortController();
+    private readonly log: PartLog;
+
+    constructor(readonly identity: EntryIdentity, readonly ports: EntryPorts) {
+        const { clock, random, platform, engines, services, peers, timeline } = ports;
+        this.log = ports.log("entry");
+        this.incarnation = randomIdentifier(random);
+        const self = { instance: identity.id, incarnation: this.incarnation };
+        const configurationLog = ports.log("configuration");
+        this.configuration = new Configuration((object, reason) =>
+            configurationLog.error("A stored object is invalid and not in force.", { name: object.name, reason })
+        );
+        this.restrictions = new Restrictions(this.configuration);
+        this.health = new PlatformHealth(clock);
+        this.membership = new Membership({
+            clock,
+            platform,
+            health: this.health,
+            peers,
+            log: ports.log("membership"),
+            self: () => this.record(),
+            ownHeartbeat: () => this.heartbeat(),
+            heard: (address, heartbeat) => this.heard(address, heartbeat),
+            seeds: identity.seeds,
+        });
+        this.table = new EndpointTable({
+            clock,
+            restrictions: this.restrictions,
+            report: record => this.report(record),
+            log: ports.log("endpoints"),
+            timeline,
+        });
+        const membership = this.membership;
+        const table = this.table;
+        const health = this.health;
+        const serving = () => this.ready && this.state === InstanceState.Live;
+        this.homes = new Homes({
+            clock,
+            random,
+            platform,
+            health,
+            membership,
+            log: ports.log("homes"),
+            timeline,
+            self,
+            serving,
+        });
+        const homes = this.homes;
+        this.coldStart = new ColdStart({
+            clock,
+            homes,
+            membership,
+            peers,
+            timeline,
+            self: identity.id,
+            endpoint: id => table.get(id),
+            profileFor: endpoint => this.profileFor(endpoint),
+        });
+        this.suspects = new Suspects(clock);
+        const allowed = (endpoint: Endpoint) => !this.restrictions.forbids(endpoint.record);
+        const suspects = this.suspects;
+        const coldStart = this.coldStart;
+        this.placer = new Placer({
+            clock,
+            random,
+            table,
+            coldStart,
+            suspects,
+            router: new Router(random),
+            allowed,
+        });
+        const placer = this.placer;
+        this.holdings = new Holdings({
+            clock,
+            random,
+            engines,
+            peers,
+            membership,
+            table,
+            log: ports.log("holdings"),
+            timeline,
+            self,
+        });
+        const holdings = this.holdings;
+        const retries = new RetryBudget(clock);
+        this.generations = new Generations({
+            clock,
+            engines,
+            placer,
+            gangs: new Gangs({ clock, random, table, engines, holdings, allowed, self }),
+            holdings,
+            table,
+            suspects,
+            retries,
+            log: ports.log("generation"),
+            timeline,
+            self,
+        });
+        this.claims = new Claims({
+            clock,
+            random,
+            platform,
+            peers,
+            membership,
+            log: ports.log("claims"),
+            timeline,
+            self,
+        });
+        this.serviceCalls = new ServiceCalls({
+            clock,
+            services,
+            placer,
+            claims: this.claims,
+            retries,
+            table,
+            timeline,
+        });
+        this.operations = new Operations({
+            clock,
+            random,
+            platform,
+            configuration: this.configuration,
+            restrictions: this.restrictions,
+            membership,
+            log: ports.log("operations"),
+            timeline,
+        });
+    }
+
+    /** Whether this entry knows a whole configuration and an instance list. */
+    get ready(): boolean {
+        return this.configuration.loaded && this.membership.instances().length > 0;
+    }
+
+    /** Whether callers should be sent here: ready and not stopping. */
+    get accepting(): boolean {
+        return this.ready && this.state === InstanceState.Live;
+    }
+
+    /** Starts every task. */
+    start(): void {
+        const { signal } = this.stopping;
+        const { clock, random, platform, timeline } = this.ports;
+        const reader = {
+            clock,
+            random,
+            platform,
+            health: this.health,
+            configuration: this.configuration,
+            log: this.ports.log("configuration"),
+            timeline,
+        };
+        this.run("the list of the configuration", relistConfiguration(reader, signal));
+        this.run("the watch of the configuration", watchConfiguration(reader, signal));
+        this.run("the instance list", this.membership.followList(signal));
+        this.run("following the list", this.followList(signal));
+        this.run("following the outs", this.followRestrictions(signal));
+        this.run("the home table", this.homes.follow(signal));
+        this.run("reclaiming", this.holdings.reclaim(signal));
+        this.run("waking", this.placer.wakeOnChange(signal));
+        this.run("provisional outs", this.operations.writeProvisional(signal));
+        timeline.record("entry", "started", undefined, `${this.identity.id}/${this.incarnation}`);
+    }
+
+    /**
+     * Stops as planned: off the balancer's and the peers' lists first, then out of the home table, then as long as
+     * requests run. Resolves when none is left.
+     */
+    async drain(): Promise<void> {
+        this.state = InstanceState.Leaving;
+        this.ports.timeline.record("entry", "draining");
+        this.membership.hurry();
+        await this.announceLeaving();
+        const lameDuckUntil = this.ports.clock.now() + lameDuckMilliseconds;
+        while (this.activeRequests > 0 || this.claims.count > 0 || this.ports.clock.now() < lameDuckUntil) {
+            await this.ports.clock.sleep(drainLookMilliseconds);
+        }
+        this.stop();
+        this.ports.timeline.record("entry", "drained");
+    }
+
+    /** Ends every task at once, as a death would. */
+    stop(): void {
+        this.stopping.abort();
+        this.table.stop();
+    }
+
+    /** What this entry tells its peers. */
+    heartbeat(): Heartbeat {
+        return {
+            instance: this.identity.id,
+            incarnation: this.incarnation,
+            state: this.state,
+            configurationRevision: this.configuration.loaded ? this.configuration.revision : 0,
+            provisionalOuts: this.restrictions.pending(),
+            suspects: this.suspects.news(),
+            homesVersion: this.homes.tableVersion,
+            platformDown: this.health.down,
+        };
+    }
+
+    /** Takes in what a peer said, and fetches what it knows better. */
+    async heard(address: string, heartbeat: Heartbeat): Promise<void> {
+        this.heardFrom(heartbeat);
+        if (heartbeat.configurationRevision <= this.configuration.revision) {
+            return;
+        }
+        const held = this.configuration.loaded ? this.configuration.revision : 0;
+        const { page, loaded, instances } = await this.ports.peers.configurationSince(address, held);
+        this.configuration.mergePeer(page, loaded);
+        if (this.membership.instances().length === 0) {
+            this.membership.takeList(instances);
+        }
+    }
+
+    /** Takes the news out of a heartbeat that a peer sent by itself. */
+    heardFrom(heartbeat: Heartbeat): void {
+        this.operations.spread(heartbeat.provisionalOuts);
+        this.suspects.takeNews(heartbeat.suspects);
+    }
+
+    /** What a peer lacks beyond `revision`. */
+    configurationSince(revision: number): PeerConfiguration {
+        return {
+            page: this.configuration.since(revision),
+            loaded: this.configuration.loaded,
+            instances: this.membership.instances(),
+        };
+    }
+
+    /** This entry's line of the instance list. */
+    record(): InstanceRecord {
+        return {
+            id: this.identity.id,
+            role: InstanceRole.Entry,
+            dataCentre: this.identity.dataCentre,
+            address: this.identity.peersAddress,
+            incarnation: this.incarnation,
+            state: this.state,
+        };
+    }
+
+    /** Milliseconds on this entry's clock, for adapters. */
+    now(): Milliseconds {
+        return this.ports.clock.now();
+    }
+
+    private run(task: string, work: Promise<void>): void {
+        work.catch((error: unknown) => {
+            this.log.error("A task ended with an error.", { task, reason: describeError(error) });
+            this.ports.timeline.record("entry", "task-failed", undefined, `${task}: ${describeError(error)}`);
+        });
+    }
+
+    private report(record: InstanceRecord): Promise<EndpointReport> {
+        const { engines, services } = this.ports;
+        return record.role === InstanceRole.Engine ? engines.report(record.address) : services.report(record.address);
+    }
+
+    private profileFor(endpoint: Endpoint) {
+        const service = endpoint.record.service;
+        return this.configuration.profileOf(service === undefined ? undefined : this.configuration.service(service));
+    }
+
+    private async followList(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.membership.changed.next(signal);
+            this.table.takeList(this.membership.instances());
+        }
+    }
+
+    private async followRestrictions(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await nextOfAny([this.restrictions.changed, this.configuration.changed], signal);
+            this.table.changed.notify();
+        }
+    }
+
+    private async announceLeaving(): Promise<void> {
+        try {
+            await this.ports.platform.announce(this.record());
+            await this.homes.leave();
+        }
+        catch (error) {
+            // The peers learn it by heartbeat, and the table drops a silent member by itself.
+            this.log.warn("The platform was not told of the stop.", { reason: describeError(error) });
+        }
+    }
+}
--- /dev/null
+++ b/src/load/caller.ts
@@ -0,0 +1,162 @@
+/** One caller of the load tool: sends a request and judges its answer. */
+import { createParser } from "eventsource-parser";
+import { Clock, exchange, ExchangeError, IncomingAnswer, Milliseconds, readBody } from "../internal.js";
+import { expectedAnswer } from "../standins/answer.js";
+import { Arrival } from "./arrivals.js";
+
+/** How a request ended, as its caller saw it. */
+export enum CallOutcome {
+    Whole = "whole",
+    /** A problem answer, or an error event in the stream. */
+    Refused = "refused",
+    /** The connection was cut without an error event. */
+    Cut = "cut",
+    /** A whole answer that isn't the answer to this request. */
+    Crossed = "crossed",
+    /** A cut answer that looked whole. */
+    FalselyWhole = "falselyWhole",
+}
+
+/** The record of one request. */
+export interface CallRecord {
+    index: number;
+    target: string;
+    promptTokens: number;
+    startedAt: Milliseconds;
+    firstTokenMilliseconds: Milliseconds | undefined;
+    totalMilliseconds: Milliseconds;
+    outcome: CallOutcome;
+    status: number;
+    execution?: string;
+    detail?: string;
+    retryAfterSeconds?: number;
+}
+
+/** How to call. */
+export interface CallOptions {
+    key: string;
+    model: string;
+    answerTokens: number;
+    timeoutMilliseconds: Milliseconds;
+}
+
+const problemLimitBytes = 64 * 1024;
+const timeoutSlackMilliseconds = 5_000;
+
+interface StreamState {
+    text: string;
+    done: boolean;
+    problem: string | undefined;
+    firstTokenAt: Milliseconds | undefined;
+}
+
+const readStream = async (clock: Clock, answer: IncomingAnswer): Promise<StreamState> => {
+    const state: StreamState = { text: "", done: false, problem: undefined, firstTokenAt: undefined };
+    const parser = createParser({
+        onEvent: event => {
+            if (event.event === "error") {
+                state.problem = event.data;
+                return;
+            }
+            if (event.data === "[DONE]") {
+                state.done = true;
+                return;
+            }
+            state.firstTokenAt ??= clock.now();
+            const chunk = JSON.parse(event.data) as { choices: { text: string; }[]; };
+            state.text += chunk.choices[0]?.text ?? "";
+        },
+    });
+    answer.body.setEncoding("utf8");
+    for await (const chunk of answer.body as AsyncIterable<string>) {
+        parser.feed(chunk);
+    }
+    return state;
+};
+
+const judge = (state: StreamState, expected: string): CallOutcome => {
+    if (state.problem !== undefined) {
+        return CallOutcome.Refused;
+    }
+    if (!state.done) {
+        return CallOutcome.Cut;
+    }
+    if (state.text === expected) {
+        return CallOutcome.Whole;
+    }
+    return expected.startsWith(state.text) ? CallOutcome.FalselyWhole : CallOutcome.Crossed;
+};
+
+/** Sends one streamed completion and judges it. Never throws. */
+export const callOnce = async (
+    clock: Clock,
+    target: string,
+    arrival: Arrival,
+    options: CallOptions,
+): Promise<CallRecord> => {
+    const startedAt = clock.now();
+    const base = { index: arrival.index, target, promptTokens: arrival.promptTokens, startedAt };
+    try {
+        const answer = await exchange({
+            address: target,
+            method: "POST",
+            path: "/v1/completions",
+            headers: {
+                "content-type": "application/json",
+                authorization: `Bearer ${options.key}`,
+                "x-request-timeout-ms": String(options.timeoutMilliseconds),
+            },
+            body: JSON.stringify({
+                model: options.model,
+                prompt: arrival.prompt,
+                stream: true,
+                max_tokens: options.answerTokens,
+            }),
+            signal: AbortSignal.timeout(options.timeoutMilliseconds + timeoutSlackMilliseconds),
+        });
+        if (answer.status !== 200) {
+            return await refusedRecord(clock, base, answer);
+        }
+        const state = await readStream(clock, answer);
+        const problem = state.problem === undefined ? {} : JSON.parse(state.problem) as Partial<CallRecord>;
+        return {
+            ...base,
+            firstTokenMilliseconds: state.firstTokenAt === undefined ? undefined : state.firstTokenAt - startedAt,
+            totalMilliseconds: clock.now() - startedAt,
+            outcome: judge(state, expectedAnswer(arrival.prompt, options.answerTokens)),
+            status: 200,
+            execution: problem.execution,
+            detail: problem.detail,
+        };
+    }
+    catch (error) {
+        return {
+            ...base,
+            firstTokenMilliseconds: undefined,
+            totalMilliseconds: clock.now() - startedAt,
+            outcome: CallOutcome.Cut,
+            status: 0,
+            detail: error instanceof ExchangeError || error instanceof Error ? error.message : String(error),
+        };
+    }
+};
+
+const refusedRecord = async (
+    clock: Clock,
+    base: Pick<CallRecord, "index" | "target" | "promptTokens" | "startedAt">,
+    answer: IncomingAnswer,
+): Promise<CallRecord> => {
+    const text = (await readBody(answer.body, problemLimitBytes)).toString("utf8");
+    const problem = JSON.parse(text) as Partial<CallRecord>;
+    const retryAfter = answer.headers["retry-after"];
+    return {
+        ...base,
+        firstTokenMilliseconds: undefined,
+        totalMilliseconds: clock.now() - base.startedAt,
+        outcome: CallOutcome.Refused,
+        status: answer.status,
+        execution: problem.execution,
+        detail: problem.detail,
+        retryAfterSeconds: retryAfter === undefined ? undefined : Number(retryAfter),
+    };
+};
--- /dev/null
+++ b/src/load/report.ts
@@ -0,0 +1,102 @@
+/** What an experiment found: outcomes, and times to first token by prompt length. */
+import { build, Histogram } from "hdr-histogram-js";
+import { CallOutcome, CallRecord } from "./caller.js";
+
+const highestMilliseconds = 3_600_000;
+const lengthClasses = [2_000, 10_000, 100_000, 500_000, Infinity];
+
+/** Times to first token of one class of prompts, in milliseconds. */
+export interface LengthRow {
+    upToTokens: number | undefined;
+    requests: number;
+    p50: number;
+    p95: number;
+    p99: number;
+    highest: number;
+}
+
+/** The report of one run. */
+export interface LoadReport {
+    requests: number;
+    outcomes: Record<CallOutcome, number>;
+    /** Requests that ended after their deadline. */
+    late: number;
+    seconds: number;
+    firstToken: LengthRow[];
+    byTarget: Record<string, number>;
+    /** The first few that weren't whole. */
+    examples: CallRecord[];
+}
+
+const examplesKept = 10;
+const lateSlackMilliseconds = 500;
+
+const newHistogram = (): Histogram =>
+    build({ lowestDiscernibleValue: 1, highestTrackableValue: highestMilliseconds, numberOfSignificantValueDigits: 3 });
+
+const firstTokenRows = (records: readonly CallRecord[]): LengthRow[] => {
+    const rows: LengthRow[] = [];
+    let above = 0;
+    for (const upTo of lengthClasses) {
+        const histogram = newHistogram();
+        for (const record of records) {
+            const inClass = record.promptTokens > above && record.promptTokens <= upTo;
+            if (inClass && record.firstTokenMilliseconds !== undefined) {
+                histogram.recordValue(Math.max(1, Math.round(record.firstTokenMilliseconds)));
+            }
+        }
+        above = upTo;
+        if (histogram.totalCount > 0) {
+            rows.push({
+                upToTokens: Number.isFinite(upTo) ? upTo : undefined,
+                requests: histogram.totalCount,
+                p50: histogram.getValueAtPercentile(50),
+                p95: histogram.getValueAtPercentile(95),
+                p99: histogram.getValueAtPercentile(99),
+                highest: histogram.maxValue,
+            });
+        }
+    }
+    return rows;
+};
+
+/** Sums up the records of a run that took `seconds`. */
+export const summarize = (records: readonly CallRecord[], seconds: number, timeoutMilliseconds: number): LoadReport => {
+    const outcomes = Object.fromEntries(Object.values(CallOutcome).map(outcome => [outcome, 0])) as Record<
+        CallOutcome,
+        number
+    >;
+    const byTarget: Record<string, number> = {};
+    let late = 0;
+    for (const record of records) {
+        outcomes[record.outcome]++;
+        byTarget[record.target] = (byTarget[record.target] ?? 0) + 1;
+        late += record.totalMilliseconds > timeoutMilliseconds + lateSlackMilliseconds ? 1 : 0;
+    }
+    return {
+        requests: records.length,
+        outcomes,
+        late,
+        seconds,
+        firstToken: firstTokenRows(records),
+        byTarget,
+        examples: records.filter(record => record.outcome !== CallOutcome.Whole).slice(0, examplesKept),
+    };
+};
+
+/** The report for people. */
+export const reportText = (report: LoadReport): string => {
+    const lines = [
+        `${report.requests} requests in ${report.seconds.toFixed(1)} s, ${report.late} late`,
+        `outcomes: ${Object.entries(report.outcomes).map(([outcome, count]) => `${outcome} ${count}`).join(", ")}`,
+        "time to first token in ms:",
+    ];
+    for (const row of report.firstToken) {
+        const name = row.upToTokens === undefined ? "longer" : `up to ${row.upToTokens}`;
+        lines.push(`  ${name} tokens: ${row.requests} requests, p50 ${row.p50}, p95 ${row.p95}, p99 ${row.p99}`);
+    }
+    for (const example of report.examples) {
+        lines.push(`  not whole: #${example.index} ${example.outcome} ${example.status} ${example.detail ?? ""}`);
+    }
+    return lines.join("\n");
+};
--- /dev/null
+++ b/src/ports/peerPort.ts
@@ -0,0 +1,69 @@
+/** What entries say to one another. */
+import { DandelionrampError, InstanceRecord, InstanceState, ObjectPage, SuspectNews } from "../internal.js";
+
+/** What an entry tells a peer several times a second. */
+export interface Heartbeat {
+    instance: string;
+    incarnation: string;
+    state: InstanceState;
+    /** Highest configuration revision this entry holds. */
+    configurationRevision: number;
+    /** Data centres and instances taken out by operators and not yet written to the platform. */
+    provisionalOuts: ProvisionalOut[];
+    suspects: SuspectNews[];
+    /** Version of the home table this entry has seen last. */
+    homesVersion: number;
+    /** Whether this entry's platform calls fail at present. */
+    platformDown: boolean;
+}
+
+/** An operator's order to take something out, given while the platform could not be written. */
+export interface ProvisionalOut {
+    kind: "dataCentre" | "instance";
+    name: string;
+    /** Version of the stored object that the order was given against: a later write supersedes it. */
+    againstVersion: number;
+}
+
+/** What a peer holds beyond a revision, for one that can't learn it from the platform. */
+export interface PeerConfiguration {
+    page: ObjectPage;
+    loaded: boolean;
+    instances: InstanceRecord[];
+}
+
+/** A wish to send one request to an endpoint in cold start. */
+export interface PermitRequest {
+    instance: string;
+    endpoint: string;
+    permitId: string;
+}
+
+/** Whether the home allows it. */
+export enum PermitAnswer {
+    Granted = "granted",
+    Denied = "denied",
+}
+
+/** State of a claim as its holder knows it. */
+export enum ClaimProgress {
+    Running = "running",
+    /** The holder ended it without dispatching: another may take it over. */
+    Released = "released",
+    /** The holder no longer knows of it. */
+    Unknown = "unknown",
+}
+
+/** The peer didn't answer in time. */
+export class PeerLostError extends DandelionrampError {}
+
+/** Peers by the address of their peer port. Calls end within a bound and throw {@link PeerLostError}. */
+export interface PeerPort {
+    heartbeat(address: string, heartbeat: Heartbeat): Promise<Heartbeat>;
+    configurationSince(address: string, revision: number): Promise<PeerConfiguration>;
+    requestPermit(address: string, request: PermitRequest): Promise<PermitAnswer>;
+    returnPermit(address: string, request: PermitRequest, succeeded: boolean): Promise<void>;
+    claimProgress(address: string, claimName: string, nonce: string): Promise<ClaimProgress>;
+    /** Which of `holdingIds` the peer still uses. */
+    liveHoldings(address: string, holdingIds: string[]): Promise<{ incarnation: string; live: string[]; }>;
+}
--- /dev/null
+++ b/src/utils/bounds.ts
@@ -0,0 +1,49 @@
+/** Every wait on something outside this process has a bound; these functions set it. */
+import { Clock, Milliseconds, TimeLimitError } from "../internal.js";
+
+/**
+ * Runs `work` for at most `limit` milliseconds.
+ *
+ * Throws {@link TimeLimitError} when the limit passes first; `work` then sees its signal aborted and its late
+ * outcome is dropped. An abort of `parent` reaches `work` too.
+ */
+export const within = async <Result>(
+    clock: Clock,
+    limit: Milliseconds,
+    subject: string,
+    work: (signal: AbortSignal) => Promise<Result>,
+    parent?: AbortSignal,
+): Promise<Result> => {
+    const controller = new AbortController();
+    const finished = new AbortController();
+    const forward = () => controller.abort();
+    parent?.addEventListener("abort", forward, { once: true });
+    if (parent?.aborted) {
+        controller.abort();
+    }
+    const expiry = clock.sleep(Math.max(0, limit), finished.signal).then(() => {
+        if (!finished.signal.aborted) {
+            controller.abort();
+            throw new TimeLimitError(subject, limit);
+        }
+        // The work has settled the race already; this branch must never win it.
+        return new Promise<never>(() => {});
+    });
+    try {
+        return await Promise.race([work(controller.signal), expiry]);
+    }
+    finally {
+        parent?.removeEventListener("abort", forward);
+        finished.abort();
+    }
+};
+
+/** Resolves when `signal` aborts, or at once when it has aborted already. */
+export const aborted = (signal: AbortSignal): Promise<void> =>
+    new Promise(resolve => {
+        if (signal.aborted) {
+            resolve();
+            return;
+        }
+        signal.addEventListener("abort", () => resolve(), { once: true });
+    });
--- /dev/null
+++ b/src/utils/httpClient.ts
@@ -0,0 +1,123 @@
+/** Outgoing HTTP over Node's `http`, with a plain answer to the question whether a request may have been read. */
+import http from "node:http";
+import { BodyTooLargeError, describeError, ExchangeError } from "../internal.js";
+
+/** One outgoing request. */
+export interface OutgoingRequest {
+    /** `host:port`. */
+    address: string;
+    method: string;
+    path: string;
+    headers?: Record<string, string>;
+    body?: string | Buffer;
+    signal?: AbortSignal;
+    /** A connection of its own: a failure to connect then proves that nothing was written. */
+    freshConnection?: boolean;
+}
+
+/** The head of an answer, with its body still to be read. */
+export interface IncomingAnswer {
+    status: number;
+    headers: http.IncomingHttpHeaders;
+    body: http.IncomingMessage;
+}
+
+const sharedAgent = new http.Agent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 32 });
+
+const splitAddress = (address: string): { host: string; port: number; } => {
+    const separator = address.lastIndexOf(":");
+    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+};
+
+const requestHeaders = (request: OutgoingRequest): http.OutgoingHttpHeaders => {
+    const length = request.body === undefined ? undefined : Buffer.byteLength(request.body);
+    return { ...request.headers, ...(length === undefined ? {} : { "content-length": length }) };
+};
+
+/**
+ * Sends a request and resolves with the head of its answer.
+ *
+ * Throws {@link ExchangeError}; its `written` is false only when the connection was never made.
+ */
+export const exchange = (request: OutgoingRequest): Promise<IncomingAnswer> =>
+    new Promise((resolve, reject) => {
+        let written = false;
+        const outgoing = http.request({
+            ...splitAddress(request.address),
+            method: request.method,
+            path: request.path,
+            headers: requestHeaders(request),
+            agent: request.freshConnection ? new http.Agent({ keepAlive: false }) : sharedAgent,
+            signal: request.signal,
+        });
+        outgoing.on("socket", socket => {
+            if (!socket.connecting) {
+                written = true;
+                return;
+            }
+            socket.once("connect", () => {
+                written = true;
+            });
+        });
+        outgoing.on("response", body => {
+            resolve({ status: body.statusCode ?? 0, headers: body.headers, body });
+        });
+        outgoing.on("error", error => {
+            const message = `${request.method} ${request.address}${request.path}: ${describeError(error)}`;
+            reject(new ExchangeError(message, written, { cause: error }));
+        });
+        outgoing.end(request.body);
+    });
+
+/** Reads a body to its end. Throws {@link BodyTooLargeError} over `limitBytes`, {@link ExchangeError} when cut. */
+export const readBody = async (body: http.IncomingMessage, limitBytes: number): Promise<Buffer> => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    try {
+        for await (const chunk of body as AsyncIterable<Buffer>) {
+            size += chunk.length;
+            if (size > limitBytes) {
+                throw new BodyTooLargeError(limitBytes);
+            }
+            chunks.push(chunk);
+        }
+    }
+    catch (error) {
+        if (error instanceof BodyTooLargeError) {
+            throw error;
+        }
+        throw new ExchangeError(`the body was cut: ${describeError(error)}`, true, { cause: error });
+    }
+    if (!body.complete) {
+        throw new ExchangeError("the body was cut", true);
+    }
+    return Buffer.concat(chunks);
+};
+
+/** An answer with its JSON body. */
+export interface JsonAnswer {
+    status: number;
+    headers: http.IncomingHttpHeaders;
+    value: unknown;
+}
+
+const jsonAnswerLimitBytes = 32 * 1024 * 1024;
+
+/** Sends `value` as JSON and reads a JSON answer. Throws {@link ExchangeError}. */
+export const exchangeJson = async (
+    request: Omit<OutgoingRequest, "body">,
+    value?: unknown,
+): Promise<JsonAnswer> => {
+    const answer = await exchange({
+        ...request,
+        headers: { ...request.headers, ...(value === undefined ? {} : { "content-type": "application/json" }) },
+        body: value === undefined ? undefined : JSON.stringify(value),
+    });
+    const text = (await readBody(answer.body, jsonAnswerLimitBytes)).toString("utf8");
+    try {
+        return { status: answer.status, headers: answer.headers, value: text === "" ? undefined : JSON.parse(text) };
+    }
+    catch (error) {
+        throw new ExchangeError(`${request.address}${request.path} answered no JSON`, true, { cause: error });
+    }
+};
--- /dev/null
+++ b/src/utils/settings.ts
@@ -0,0 +1,71 @@
+/** Settings in INI files, checked; every fault is one line that names file, section and key. */
+import { parse } from "ini";
+import { readFileSync } from "node:fs";
+import { z } from "zod";
+import { DandelionrampError, describeError } from "../internal.js";
+
+/** A settings file that can't be used. */
+export class SettingsError extends DandelionrampError {}
+
+/** Building blocks of settings: what a key expects is part of its message. */
+export const setting = {
+    text: () => z.string("expected text").min(1, "expected text"),
+    /** `host:port`. */
+    address: () =>
+        z.string("expected an address as host:port").regex(/^[^\s:]+:\d{1,5}$/, "expected an address as host:port"),
+    wholeNumber: (least = 0) =>
+        z.string(`expected a whole number of at least ${least}`)
+            .regex(/^\d{1,12}$/, `expected a whole number of at least ${least}`)
+            .transform(Number)
+            .refine(value => value >= least, `expected a whole number of at least ${least}`),
+    share: () =>
+        z.string("expected a number from 0 to 1")
+            .regex(/^(0(\.\d+)?|1(\.0+)?)$/, "expected a number from 0 to 1")
+            .transform(Number),
+    flag: () => z.boolean("expected true or false"),
+    list: () => z.string().transform(text => text.split(",").map(item => item.trim()).filter(item => item !== "")),
+    oneOf: <Value extends string>(values: Record<string, Value>) => {
+        const expected = `expected one of ${Object.values(values).join(", ")}`;
+        return z.enum(values, expected);
+    },
+};
+
+const expectation = (issue: z.core.$ZodIssue): string => {
+    if (issue.code === "unrecognized_keys") {
+        const what = issue.path.length === 0 ? "section" : "key";
+        return `unknown ${what} ${issue.keys.join(", ")}`;
+    }
+    // A missing section is reported by its own type; keys carry their expectation as message.
+    return issue.path.length === 1 ? "this section is missing or no section" : issue.message;
+};
+
+const describeIssue = (file: string, issue: z.core.$ZodIssue): string => {
+    const [section, key] = issue.path.map(String);
+    const place = [section === undefined ? "" : `[${section}]`, key ?? ""].filter(part => part !== "").join(" ");
+    return `${file}: ${place === "" ? "" : `${place}: `}${expectation(issue)}`;
+};
+
+/** Checks the text of a settings file against its schema. Throws {@link SettingsError}. */
+export const parseSettings = <Schema extends z.ZodType>(
+    file: string,
+    text: string,
+    schema: Schema,
+): z.infer<Schema> => {
+    const outcome = schema.safeParse(JSON.parse(JSON.stringify(parse(text))));
+    if (!outcome.success) {
+        throw new SettingsError(describeIssue(file, outcome.error.issues[0]!));
+    }
+    return outcome.data;
+};
+
+/** Reads and checks a settings file. Throws {@link SettingsError}. */
+export const readSettings = <Schema extends z.ZodType>(file: string, schema: Schema): z.infer<Schema> => {
+    let text: string;
+    try {
+        text = readFileSync(file, "utf8");
+    }
+    catch (error) {
+        throw new SettingsError(`${file}: can't be read: ${describeError(error)}`, { cause: error });
+    }
+    return parseSettings(file, text, schema);
+};
