Check the whole path over separate processes; answers leave the process before a planned stop ends

Cause: a planned stop counted a request as ended once its handler returned, while the last bytes could still be in this process's buffers. Requests now count until their answer was sent, and open connections end by themselves first.

--- /dev/null
+++ b/__tests__/timeline.test.ts
@@ -0,0 +1,46 @@
+/** One time line over processes whose clocks disagree. */
+import { expect, test } from "vitest";
+import { collect, merge, timelineHtml, timelineText } from "../src/commands/timelineMerge.js";
+import { Clock, sendJson, Timeline } from "../src/internal.js";
+import { listen } from "../src/internal.js";
+
+const clockAt = (wall: { time: number; }): Clock => ({
+    now: () => wall.time,
+    wallTime: () => wall.time,
+    sleep: () => Promise.resolve(),
+});
+
+const serveTimeline = (timeline: Timeline) =>
+    listen("127.0.0.1:0", (_request, response) => Promise.resolve(sendJson(response, 200, timeline.page(0))));
+
+test("offsets are corrected", async () => {
+    // One instance's clock runs an hour ahead. Unmerged, its events would all seem to come after the others.
+    const near = { time: 1_000_000 };
+    const far = { time: 1_000_000 + 3_600_000 };
+    const first = new Timeline("entry-1", clockAt(near));
+    const second = new Timeline("engine-1", clockAt(far));
+    first.record("callers", "admitted", "abc");
+    near.time += 10;
+    far.time += 10;
+    second.record("engine", "stream", "abc");
+    near.time += 10;
+    far.time += 10;
+    first.record("callers", "ended", "abc");
+    const listeners = await Promise.all([serveTimeline(first), serveTimeline(second)]);
+    const pages = await Promise.all(listeners.map(listener => collect(clockAt(near), listener.address)));
+    await Promise.all(listeners.map(listener => listener.close()));
+    const events = merge(pages);
+    expect(events.map(event => event.event)).toEqual(["admitted", "stream", "ended"]);
+    expect(timelineText(events).split("\n")).toHaveLength(3);
+    expect(timelineHtml(events)).toContain("<circle");
+});
+
+test("a full ring says what it lost", () => {
+    const timeline = new Timeline("entry-1", clockAt({ time: 0 }));
+    for (let index = 0; index < 10_000; index++) {
+        timeline.record("callers", "admitted", String(index));
+    }
+    const page = timeline.page(0);
+    expect(page.lost).toBe(10_000 - page.events.length);
+    expect(page.events.at(-1)!.requestId).toBe("9999");
+});
--- /dev/null
+++ b/scripts/checkThinPath.js
@@ -0,0 +1,96 @@
+// Checks the whole path over separate processes: a mixed load, a configuration change, and a planned stop under load.
+// Prints each figure; exits with 1 when one is not as it must be.
+import { callersOf, engineControl, getJson, LocalFleet, operatorsOf, sleep, untilReady } from "./fleet.js";
+import { runExperiment, summarize, systemClock } from "./loadLibrary.js";
+
+const entries = [1, 2, 3, 4, 5, 6];
+const fleet = new LocalFleet();
+let failed = false;
+
+const check = (name, holds, figure) => {
+    failed ||= !holds;
+    process.stdout.write(`${holds ? "ok  " : "FAIL"} ${name}: ${figure}\n`);
+};
+
+const load = async (targets, plan, exact, timeoutMilliseconds = 120_000) => {
+    const startedAt = systemClock.now();
+    const options = { key: "quickstart", model: "standin", answerTokens: plan.answerTokens, timeoutMilliseconds };
+    const records = await runExperiment(systemClock, { plan, exact, targets, options, faults: [] });
+    return summarize(records, (systemClock.now() - startedAt) / 1_000, timeoutMilliseconds);
+};
+
+const describe = report =>
+    JSON.stringify({ requests: report.requests, ...report.outcomes, late: report.late, firstToken: report.firstToken });
+
+const shortPlan = (requests, ratePerSecond, answerTokens, seed) => ({
+    requests,
+    ratePerSecond,
+    mix: [{ promptTokens: 1_000, weight: 1 }],
+    answerTokens,
+    seed,
+});
+
+const mixedLoad = async () => {
+    const warming = await load(entries.map(callersOf), shortPlan(300, 60, 32, 1), false);
+    check("300 short requests while all engines are cold", warming.outcomes.whole === 300, describe(warming));
+    const plan = {
+        requests: 0,
+        ratePerSecond: 60,
+        mix: [{ promptTokens: 1_000, weight: 1_000 }, { promptTokens: 1_000_000, weight: 20 }],
+        answerTokens: 32,
+        seed: 2,
+    };
+    const mixed = await load(entries.map(callersOf), plan, true);
+    check("1,000 short and 20 of a million tokens", mixed.outcomes.whole === 1_020, describe(mixed));
+    let overloads = 0;
+    for (let index = 1; index <= 20; index++) {
+        overloads += (await getJson(engineControl(index), "/counts")).coldOverloads;
+    }
+    check("cold engines overloaded", overloads === 0, overloads);
+};
+
+const configurationChange = async () => {
+    const startedAt = systemClock.now();
+    const answer = await fetch(`http://${operatorsOf(1)}/objects/profile/changed`, {
+        method: "PUT",
+        body: JSON.stringify({ value: { shortPromptTokens: 9_000 } }),
+    });
+    const { version } = await answer.json();
+    const seen = new Set();
+    while (seen.size < entries.length) {
+        for (const index of entries) {
+            const found = await fetch(`http://${operatorsOf(index)}/objects/profile/changed`);
+            if (found.status === 200 && (await found.json()).version >= version) {
+                seen.add(index);
+            }
+        }
+    }
+    const took = Math.round(systemClock.now() - startedAt);
+    check("a change is in force on all 6 entries", took < 2_000, `${took} ms`);
+};
+
+const plannedStop = async () => {
+    // The balancer lags: it goes on sending to the stopping entry for a second after SIGTERM.
+    const stopping = load([callersOf(2)], shortPlan(200, 50, 120, 3), false);
+    const others = load([1, 3, 4, 5, 6].map(callersOf), shortPlan(600, 100, 120, 4), false);
+    await sleep(3_000);
+    fleet.signal("entry-2", "SIGTERM");
+    const report = await stopping;
+    check("requests to the stopping entry", report.outcomes.whole === 200, describe(report));
+    const rest = await others;
+    check("requests to the others", rest.outcomes.whole === 600, describe(rest));
+    const code = await fleet.exits.get("entry-2");
+    check("exit code of the stopped entry", code === 0, code);
+};
+
+fleet.startAll();
+try {
+    await untilReady(entries);
+    await mixedLoad();
+    await configurationChange();
+    await plannedStop();
+}
+finally {
+    await fleet.stopAll();
+}
+process.exit(failed ? 1 : 0);
--- a/src/adapters/callers/callerServer.ts
+++ b/src/adapters/callers/callerServer.ts
@@ -1,6 +1,7 @@
 /** The callers' port. */
 import { IncomingMessage, ServerResponse } from "node:http";
 import {
+    answerSent,
     CallerExchange,
     EntryNode,
     Execution,
@@ -75,6 +76,8 @@
         sendProblem(response, failure, exchange.requestId);
     }
     finally {
+        // An answer still in this process's buffers would be cut if the entry stopped now.
+        await answerSent(response);
         node.activeRequests--;
         node.ports.timeline.record("callers", "ended", exchange.requestId, String(response.statusCode));
     }
--- a/src/adapters/entry.ts
+++ b/src/adapters/entry.ts
@@ -21,6 +21,8 @@
     Timeline,
 } from "../internal.js";
 
+/** Time that open connections get at the end of a planned stop, when no request runs any more. */
+const finishMilliseconds = 2_000;
 const defaultBodyBytes = 16 * 1024 * 1024;
 
 /** Schema of an entry's settings file. */
@@ -100,6 +102,7 @@
         operators,
         drain: async () => {
             await node.drain();
+            await callers.finish(clock, finishMilliseconds);
             await close();
             log("entry").info("The entry has drained.");
         },
--- a/src/utils/httpServer.ts
+++ b/src/utils/httpServer.ts
@@ -1,14 +1,17 @@
 /** Incoming HTTP over Node's `http`: listening, JSON answers, and stopping. */
 import http from "node:http";
 import { AddressInfo } from "node:net";
+import { Clock, Milliseconds } from "../internal.js";
 
 /** A listening server and the address it got. */
 export interface Listener {
     server: http.Server;
     /** `host:port`, with the real port where 0 was asked for. */
     address: string;
-    /** Stops listening and ends every connection. */
+    /** Stops listening and cuts every connection. */
     close(): Promise<void>;
+    /** Stops listening and lets what is being answered end, then cuts the rest after `limit`. */
+    finish(clock: Clock, limit: Milliseconds): Promise<void>;
 }
 
 /** Answers one request; a rejected promise ends the request with status 500. */
@@ -41,6 +44,7 @@
                 server,
                 address: `${host}:${port}`,
                 close: () => closeServer(server),
+                finish: (clock, limit) => finishServer(server, clock, limit),
             });
         });
     });
@@ -51,6 +55,26 @@
         server.closeAllConnections();
     });
 
+const finishServer = async (server: http.Server, clock: Clock, limit: Milliseconds): Promise<void> => {
+    const closed = new AbortController();
+    const ended = new Promise<void>(resolve => server.close(() => resolve()));
+    server.closeIdleConnections();
+    await Promise.race([ended, clock.sleep(limit, closed.signal)]);
+    closed.abort();
+    server.closeAllConnections();
+};
+
+/** Resolves when an answer has left this process, or its connection is gone. */
+export const answerSent = (response: http.ServerResponse): Promise<void> =>
+    new Promise(resolve => {
+        if (response.writableFinished || response.destroyed) {
+            resolve();
+            return;
+        }
+        response.once("finish", resolve);
+        response.once("close", resolve);
+    });
+
 /** Sends a JSON answer. */
 export const sendJson = (response: http.ServerResponse, status: number, value: unknown): void => {
     const text = JSON.stringify(value);
