True refusals in an outage, a guard against pauses, and claims that are collected

Cause: a repeat of a key that had run was refused as not-run while the platform was down, and an entry that woke from a pause sent by what it knew before. Entries now ask one another for the key's history, and hold sends until refreshed.

--- a/__tests__/timeline.test.ts
+++ b/__tests__/timeline.test.ts
@@ -11,7 +11,7 @@
 });
 
 const serveTimeline = (timeline: Timeline) =>
-    listen("127.0.0.1:0", (_request, response) => Promise.resolve(sendJson(response, 200, timeline.page(0))));
+    listen("127.0.0.1:0", (...[, response]) => Promise.resolve(sendJson(response, 200, timeline.page(0))));
 
 test("offsets are corrected", async () => {
     // One instance's clock runs an hour ahead. Unmerged, its events would all seem to come after the others.
--- a/src/adapters/peerClient.ts
+++ b/src/adapters/peerClient.ts
@@ -6,6 +6,7 @@
     describeError,
     exchangeJson,
     Heartbeat,
+    KeyHistory,
     PeerConfiguration,
     PeerLostError,
     PeerMethod,
@@ -43,6 +44,10 @@
         return this.call(address, PeerMethod.ClaimProgress, { claimName, nonce });
     }
 
+    keyHistory(address: string, claimName: string): Promise<KeyHistory> {
+        return this.call(address, PeerMethod.KeyHistory, { claimName });
+    }
+
     liveHoldings(address: string, holdingIds: string[]): Promise<{ incarnation: string; live: string[]; }> {
         return this.call(address, PeerMethod.LiveHoldings, { holdingIds });
     }
--- a/src/adapters/peerServer.ts
+++ b/src/adapters/peerServer.ts
@@ -11,6 +11,7 @@
     RequestPermit = "requestPermit",
     ReturnPermit = "returnPermit",
     ClaimProgress = "claimProgress",
+    KeyHistory = "keyHistory",
     LiveHoldings = "liveHoldings",
 }
 
@@ -36,6 +37,10 @@
         },
     );
     server.addMethod(PeerMethod.ClaimProgress, ({ nonce }: { nonce: string; }) => node.claims.progress(nonce));
+    server.addMethod(
+        PeerMethod.KeyHistory,
+        ({ claimName }: { claimName: string; }) => node.claims.keyHistory(claimName),
+    );
     server.addMethod(PeerMethod.LiveHoldings, ({ holdingIds }: { holdingIds: string[]; }) => ({
         incarnation: node.incarnation,
         live: node.holdings.liveOf(holdingIds),
--- a/src/core/claims.ts
+++ b/src/core/claims.ts
@@ -8,6 +8,7 @@
     Execution,
     FailureKind,
     fingerprint,
+    KeyHistory,
     Membership,
     Milliseconds,
     ObjectKind,
@@ -15,9 +16,11 @@
     PeerLostError,
     PeerPort,
     PlatformError,
+    PlatformHealth,
     PlatformPort,
     Random,
     randomIdentifier,
+    rendezvous,
     RequestFailure,
     ServiceAnswer,
     StoredObject,
@@ -39,6 +42,11 @@
 export const keptAnswerBytes = 256 * 1024;
 const platformRetrySeconds = 2;
 const releasedAtMost = 10_000;
+const seenAtMost = 50_000;
+/** A caller that repeats a request does so within this time. */
+const keyMemoryMilliseconds = 10 * 60_000;
+const collectMilliseconds = 30_000;
+const collectedAtOnce = 20;
 /** Claims are kept this long for repeats. */
 export const claimLifetimeMilliseconds = 24 * 3_600_000;
 
@@ -88,6 +96,7 @@
     random: Random;
     platform: PlatformPort;
     peers: PeerPort;
+    health: PlatformHealth;
     membership: Membership;
     log: PartLog;
     timeline: Timeline;
@@ -97,13 +106,12 @@
 /** Name of the claim of a customer's key. */
 export const claimName = (customer: string, key: string): string => fingerprint(customer, key);
 
-const platformDown = (): RequestFailure =>
-    new RequestFailure(
-        FailureKind.PlatformDown,
-        Execution.NotRun,
-        "the platform can't record this request, so it was not run",
-        platformRetrySeconds,
-    );
+const platformDown = (execution: Execution): RequestFailure => {
+    const detail = execution === Execution.NotRun
+        ? "the platform can't record this request, so it was not run"
+        : "the platform can't say whether an earlier request with this key ran; this one was not run";
+    return new RequestFailure(FailureKind.PlatformDown, execution, detail, platformRetrySeconds);
+};
 
 const outcomeUnknown = (detail: string): RequestFailure =>
     new RequestFailure(FailureKind.OutcomeUnknown, Execution.Unknown, detail, platformRetrySeconds);
@@ -120,6 +128,8 @@
     private readonly running = new Set<string>();
     /** Nonces that this entry gave up before sending; a send must never follow. */
     private readonly released = new Set<string>();
+    /** Names of claims that were seen to stand: their calls may have run. */
+    private readonly seen = new Set<string>();
 
     constructor(private readonly parts: ClaimsParts) {}
 
@@ -154,6 +164,7 @@
     /** Gives a claim up before anything was sent, so that a repeat can run. */
     async giveUp(claim: HeldClaim): Promise<void> {
         this.release(claim.value.nonce);
+        this.seen.delete(claim.name);
         try {
             await this.parts.platform.remove(ObjectKind.Claim, claim.name, claim.version);
         }
@@ -185,6 +196,31 @@
         return this.released.has(nonce) ? ClaimProgress.Released : ClaimProgress.Unknown;
     }
 
+    /**
+     * What this entry remembers of a key.
+     *
+     * In an outage a repeat looks like a first request. Refusing it as "not run" while the first one ran would have
+     * the family book elsewhere and be charged twice, so the entries ask one another first.
+     */
+    keyHistory(name: string): KeyHistory {
+        if (this.seen.has(name)) {
+            return KeyHistory.Seen;
+        }
+        const sinceLoss = this.parts.clock.now() - this.parts.membership.lastPeerLoss;
+        return sinceLoss < keyMemoryMilliseconds ? KeyHistory.Incomplete : KeyHistory.NotSeen;
+    }
+
+    /** Removes claims that are too old to be repeated, until `signal` aborts. One entry at a time does it. */
+    async collect(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.parts.clock.sleep(collectMilliseconds, signal);
+            const entries = this.parts.membership.answeringEntries();
+            if (!signal.aborted && rendezvous("claims", entries) === this.parts.self.instance) {
+                await this.collectOnce();
+            }
+        }
+    }
+
     /** Calls that are being worked on. */
     get count(): number {
         return this.running.size;
@@ -201,6 +237,42 @@
         };
     }
 
+    private async collectOnce(): Promise<void> {
+        try {
+            const { objects } = await this.parts.platform.list([ObjectKind.Claim]);
+            const oldest = this.parts.clock.wallTime() - claimLifetimeMilliseconds;
+            const old = objects.filter(object => (object.value as ClaimValue).claimedAt < oldest);
+            for (const object of old.slice(0, collectedAtOnce)) {
+                await this.parts.platform.remove(ObjectKind.Claim, object.name, object.version);
+            }
+        }
+        catch (error) {
+            this.parts.log.warn("Old claims were not collected.", { reason: describeError(error) });
+        }
+    }
+
+    private remember(name: string): void {
+        this.seen.add(name);
+        if (this.seen.size > seenAtMost) {
+            this.seen.delete(this.seen.values().next().value!);
+        }
+    }
+
+    /** The refusal of a request whose claim the platform doesn't take. */
+    private async refuseInOutage(name: string): Promise<RequestFailure> {
+        const histories = this.parts.membership.peers().map(async peer => {
+            try {
+                return await this.parts.peers.keyHistory(peer.record.address, name);
+            }
+            catch {
+                return KeyHistory.Incomplete;
+            }
+        });
+        const all = [this.keyHistory(name), ...await Promise.all(histories)];
+        const unused = all.every(history => history === KeyHistory.NotSeen);
+        return platformDown(unused ? Execution.NotRun : Execution.Unknown);
+    }
+
     private release(nonce: string): void {
         this.running.delete(nonce);
         this.released.add(nonce);
@@ -232,14 +304,20 @@
         expectedVersion: number,
         deadline: Deadline,
     ): Promise<{ type: "Held"; claim: HeldClaim; } | { type: "Exists"; current: StoredObject | undefined; }> {
-        const until = this.parts.clock.now() + deadline.bounded(settleMilliseconds);
+        // In a known outage one try is enough: the caller is better told at once.
+        const settle = this.parts.health.down ? 0 : settleMilliseconds;
+        const until = this.parts.clock.now() + deadline.bounded(settle);
         while (true) {
             try {
                 const outcome = await this.parts.platform.write(ObjectKind.Claim, name, expectedVersion, value);
                 if (outcome.type === "Written") {
+                    this.remember(name);
                     return { type: "Held", claim: { name, version: outcome.version, value } };
                 }
                 const current = outcome.current;
+                if (current) {
+                    this.remember(name);
+                }
                 if (current && (current.value as ClaimValue | undefined)?.nonce === value.nonce) {
                     return { type: "Held", claim: { name, version: current.version, value } };
                 }
@@ -253,7 +331,7 @@
             }
             // Writing again on the same condition is the reading back: it conflicts with its own lost write.
             if (this.parts.clock.now() >= until) {
-                throw platformDown();
+                throw await this.refuseInOutage(name);
             }
             await this.parts.clock.sleep(settleRetryMilliseconds);
         }
--- a/src/core/entryNode.ts
+++ b/src/core/entryNode.ts
@@ -4,6 +4,7 @@
     Clock,
     ColdStart,
     Configuration,
+    ConfigurationReaderParts,
     describeError,
     Endpoint,
     EndpointReport,
@@ -17,12 +18,14 @@
     InstanceRecord,
     InstanceRole,
     InstanceState,
+    listConfiguration,
     Membership,
     Metrics,
     Milliseconds,
     nextOfAny,
     Operations,
     PartLog,
+    PauseGuard,
     PeerConfiguration,
     PeerPort,
     Placer,
@@ -85,6 +88,7 @@
     readonly claims: Claims;
     readonly serviceCalls: ServiceCalls;
     readonly operations: Operations;
+    readonly guard: PauseGuard;
     readonly metrics = new Metrics();
     /** Requests of callers that are being served. */
     activeRequests = 0;
@@ -151,6 +155,8 @@
         const allowed = (endpoint: Endpoint) => !this.restrictions.forbids(endpoint.record);
         const suspects = this.suspects;
         const coldStart = this.coldStart;
+        this.guard = new PauseGuard({ clock, log: this.log, timeline, refresh: () => this.refresh() });
+        const guard = this.guard;
         this.placer = new Placer({
             clock,
             random,
@@ -159,6 +165,7 @@
             suspects,
             router: new Router(random),
             allowed,
+            guard,
         });
         const placer = this.placer;
         this.holdings = new Holdings({
@@ -178,7 +185,7 @@
             clock,
             engines,
             placer,
-            gangs: new Gangs({ clock, random, table, engines, holdings, allowed, self }),
+            gangs: new Gangs({ clock, random, table, engines, holdings, allowed, guard, self }),
             holdings,
             table,
             suspects,
@@ -192,6 +199,7 @@
             random,
             platform,
             peers,
+            health,
             membership,
             log: ports.log("claims"),
             timeline,
@@ -231,16 +239,8 @@
     /** Starts every task. */
     start(): void {
         const { signal } = this.stopping;
-        const { clock, random, platform, timeline } = this.ports;
-        const reader = {
-            clock,
-            random,
-            platform,
-            health: this.health,
-            configuration: this.configuration,
-            log: this.ports.log("configuration"),
-            timeline,
-        };
+        const reader = this.readerParts();
+        const { timeline } = this.ports;
         this.run("the list of the configuration", relistConfiguration(reader, signal));
         this.run("the watch of the configuration", watchConfiguration(reader, signal));
         this.run("the instance list", this.membership.followList(signal));
@@ -248,6 +248,8 @@
         this.run("following the outs", this.followRestrictions(signal));
         this.run("the home table", this.homes.follow(signal));
         this.run("reclaiming", this.holdings.reclaim(signal));
+        this.run("collecting claims", this.claims.collect(signal));
+        this.run("the pause guard", this.guard.watch(signal));
         this.run("waking", this.placer.wakeOnChange(signal));
         this.run("provisional outs", this.operations.writeProvisional(signal));
         timeline.record("entry", "started", undefined, `${this.identity.id}/${this.incarnation}`);
@@ -336,6 +338,26 @@
         return this.ports.clock.now();
     }
 
+    /** Learns what peers and platform know now. */
+    private async refresh(): Promise<void> {
+        const reader = listConfiguration(this.readerParts()).catch(() => undefined);
+        await Promise.all([this.membership.askPeers(), reader]);
+        this.table.changed.notify();
+    }
+
+    private readerParts(): ConfigurationReaderParts {
+        const { clock, random, platform, timeline } = this.ports;
+        return {
+            clock,
+            random,
+            platform,
+            health: this.health,
+            configuration: this.configuration,
+            log: this.ports.log("configuration"),
+            timeline,
+        };
+    }
+
     private run(task: string, work: Promise<void>): void {
         work.catch((error: unknown) => {
             this.log.error("A task ended with an error.", { task, reason: describeError(error) });
--- a/src/core/gangs.ts
+++ b/src/core/gangs.ts
@@ -11,6 +11,7 @@
     FailureKind,
     fullJitter,
     Holdings,
+    PauseGuard,
     Random,
     randomIdentifier,
     RequestFailure,
@@ -41,6 +42,7 @@
     engines: EnginePort;
     holdings: Holdings;
     allowed: (endpoint: Endpoint) => boolean;
+    guard: PauseGuard;
     self: { instance: string; incarnation: string; };
 }
 
@@ -131,7 +133,8 @@
     }
 
     private usable(gang: readonly Endpoint[]): boolean {
-        return gang.every(member => this.parts.allowed(member) && this.parts.table.trust(member).type === "Warm");
+        return this.parts.guard.fresh()
+            && gang.every(member => this.parts.allowed(member) && this.parts.table.trust(member).type === "Warm");
     }
 
     private async reserve(work: Work, gang: Endpoint[]): Promise<GangPlacement | undefined> {
--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -35,7 +35,7 @@
 /** Time an engine gets to accept a stream. */
 const acceptMilliseconds = 2_000;
 /** Attempts that may fail on endpoints before the request itself fails. */
-const attemptsAtMost = 6;
+const lossesAtMost = 6;
 
 /** A generation as a caller asked for it. */
 export interface GenerationRequest {
@@ -85,6 +85,8 @@
 /** State of one request over its attempts. */
 interface Progress {
     attempt: number;
+    /** Attempts that were lost on their endpoints. */
+    losses: number;
     tokensSent: number;
     avoid: Set<string>;
     ran: boolean;
@@ -103,7 +105,7 @@
      * stream on the engine.
      */
     async *run(request: GenerationRequest): AsyncGenerator<AnswerPiece, void> {
-        const progress: Progress = { attempt: 0, tokensSent: 0, avoid: new Set(), ran: false };
+        const progress: Progress = { attempt: 0, losses: 0, tokensSent: 0, avoid: new Set(), ran: false };
         this.parts.retries.firstAttempt(request.work.profile.retryShare);
         while (true) {
             const place = await this.findPlace(request, progress);
@@ -403,7 +405,8 @@
             await this.parts.clock.sleep(work.deadline.bounded(20), work.signal);
             return;
         }
-        if (progress.attempt >= attemptsAtMost || !this.parts.retries.takeRetry()) {
+        progress.losses++;
+        if (progress.losses >= lossesAtMost || !this.parts.retries.takeRetry()) {
             const execution = progress.ran ? Execution.Ran : Execution.NotRun;
             const detail = "the request failed on its endpoints and the budget for retries is spent";
             throw new RequestFailure(FailureKind.RetriesExhausted, execution, detail, 2);
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -53,6 +53,7 @@
     private readonly peerStates = new Map<string, PeerState>();
     private readonly peerTasks = new Map<string, AbortController>();
     private urgent = new ChangeSignal();
+    private peerLostAt: Milliseconds = -Infinity;
 
     constructor(private readonly parts: MembershipParts) {}
 
@@ -79,12 +80,22 @@
         return peer.heartbeat !== undefined && this.parts.clock.now() - peer.askedAt < peerLostMilliseconds;
     }
 
+    /** When a peer was last found to have ended without a planned stop: what it knew is lost. */
+    get lastPeerLoss(): Milliseconds {
+        return this.peerLostAt;
+    }
+
     /** Names of the entries that answer, this one included. */
     answeringEntries(): string[] {
         const names = this.peers().filter(peer => this.answers(peer)).map(peer => peer.record.id);
         return [...names, this.parts.self().id];
     }
 
+    /** Exchanges one heartbeat with every peer, for news missed during a pause. */
+    async askPeers(): Promise<void> {
+        await Promise.all(this.peers().map(peer => this.askPeer(peer)));
+    }
+
     /** Sends the next heartbeat to every peer at once, because there is news. */
     hurry(): void {
         this.urgent.notify();
@@ -151,6 +162,7 @@
         const self = this.parts.self();
         for (const [id, task] of this.peerTasks) {
             if (!this.records.has(id)) {
+                this.noteLoss(this.peerStates.get(id));
                 task.abort();
                 this.peerTasks.delete(id);
                 this.peerStates.delete(id);
@@ -163,6 +175,12 @@
         }
     }
 
+    private noteLoss(peer: PeerState | undefined): void {
+        if (peer?.heartbeat && peer.heartbeat.state !== InstanceState.Leaving) {
+            this.peerLostAt = this.parts.clock.now();
+        }
+    }
+
     private startPeer(record: InstanceRecord): void {
         const known = this.peerStates.get(record.id);
         if (known) {
@@ -178,16 +196,7 @@
 
     private async followPeer(peer: PeerState, signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            const askedAt = this.parts.clock.now();
-            try {
-                const heartbeat = await this.parts.peers.heartbeat(peer.record.address, this.parts.ownHeartbeat());
-                peer.heartbeat = heartbeat;
-                peer.askedAt = askedAt;
-                await this.parts.heard(peer.record.address, heartbeat);
-            }
-            catch (error) {
-                this.parts.log.warn("A peer does not answer.", { peer: peer.record.id, reason: describeError(error) });
-            }
+            await this.askPeer(peer);
             const stop = new AbortController();
             const end = () => stop.abort();
             signal.addEventListener("abort", end, { once: true });
@@ -199,4 +208,20 @@
             stop.abort();
         }
     }
+
+    private async askPeer(peer: PeerState): Promise<void> {
+        const askedAt = this.parts.clock.now();
+        try {
+            const heartbeat = await this.parts.peers.heartbeat(peer.record.address, this.parts.ownHeartbeat());
+            if (peer.heartbeat && peer.heartbeat.incarnation !== heartbeat.incarnation) {
+                this.noteLoss(peer);
+            }
+            peer.heartbeat = heartbeat;
+            peer.askedAt = askedAt;
+            await this.parts.heard(peer.record.address, heartbeat);
+        }
+        catch (error) {
+            this.parts.log.warn("A peer does not answer.", { peer: peer.record.id, reason: describeError(error) });
+        }
+    }
 }
--- /dev/null
+++ b/src/core/pauseGuard.ts
@@ -0,0 +1,63 @@
+/** Notices that this process was paused, and holds sends back until its knowledge is fresh again. */
+import { Clock, Milliseconds, PartLog, Timeline } from "../internal.js";
+
+const tickMilliseconds = 200;
+/** Time without a tick after which this process counts as having been paused. */
+const pausedMilliseconds = 1_200;
+
+/** What the guard works with. */
+export interface PauseGuardParts {
+    clock: Clock;
+    log: PartLog;
+    timeline: Timeline;
+    /** Learns what happened meanwhile. Ends within a bound, whether it succeeded or not. */
+    refresh: () => Promise<void>;
+}
+
+/**
+ * Detects pauses.
+ *
+ * A process that was stopped for a while wakes with old knowledge and may send at once, to a data centre that was
+ * taken out meanwhile; one would notice new work there long after the operator's order. The guard ticks; a send is
+ * allowed only shortly after a tick, and a tick that comes late begins a refresh first.
+ */
+export class PauseGuard {
+    private tickedAt: Milliseconds;
+    private refreshing = false;
+
+    constructor(private readonly parts: PauseGuardParts) {
+        this.tickedAt = parts.clock.now();
+    }
+
+    /** Whether this process has been running all along. Ask in the same synchronous step as a send. */
+    fresh(): boolean {
+        return !this.refreshing && this.parts.clock.now() - this.tickedAt < pausedMilliseconds;
+    }
+
+    /** Ticks until `signal` aborts. */
+    async watch(signal: AbortSignal): Promise<void> {
+        this.tickedAt = this.parts.clock.now();
+        while (!signal.aborted) {
+            await this.parts.clock.sleep(tickMilliseconds, signal);
+            const now = this.parts.clock.now();
+            const pause = now - this.tickedAt;
+            this.tickedAt = now;
+            if (pause >= pausedMilliseconds && !this.refreshing) {
+                this.refreshing = true;
+                this.parts.log.warn("This process was paused.", { milliseconds: Math.round(pause) });
+                this.parts.timeline.record("entry", "paused", undefined, `${Math.round(pause)} ms`);
+                // Not awaited: the ticks must go on, or the refresh itself would look like a pause.
+                void this.refresh();
+            }
+        }
+    }
+
+    private async refresh(): Promise<void> {
+        try {
+            await this.parts.refresh();
+        }
+        finally {
+            this.refreshing = false;
+        }
+    }
+}
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -9,6 +9,7 @@
     FairQueue,
     hasRoom,
     Lane,
+    PauseGuard,
     Permit,
     predictFirstToken,
     Random,
@@ -48,6 +49,7 @@
     router: Router;
     /** Whether new work may go to the endpoint: not taken out, not leaving. */
     allowed: (endpoint: Endpoint) => boolean;
+    guard: PauseGuard;
 }
 
 /** Places requests of one entry. */
@@ -183,6 +185,9 @@
     }
 
     private tryPlace(work: Work, avoid: ReadonlySet<string>): Placement | undefined {
+        if (!this.parts.guard.fresh()) {
+            return undefined;
+        }
         const candidates = this.candidates(work, avoid);
         const suspect = this.parts.suspects.isSuspect(work.fingerprint);
         const warm: Endpoint[] = [];
@@ -269,7 +274,7 @@
     }
 
     private sendAllowed(endpoint: Endpoint, permit: Permit | undefined): boolean {
-        if (!this.parts.allowed(endpoint)) {
+        if (!this.parts.guard.fresh() || !this.parts.allowed(endpoint)) {
             return false;
         }
         // Between placing and sending this process may have been paused, and the endpoint fallen cold.
--- a/src/core/serviceCall.ts
+++ b/src/core/serviceCall.ts
@@ -23,7 +23,8 @@
     Work,
 } from "../internal.js";
 
-const attemptsAtMost = 5;
+const lossesAtMost = 5;
+const notRunPauseMilliseconds = 20;
 
 /** A call as a caller made it. */
 export interface ServiceCall {
@@ -97,7 +98,7 @@
         const avoid = new Set<string>();
         let ran = false;
         this.parts.retries.firstAttempt(work.profile.retryShare);
-        for (let attempt = 0; attempt < attemptsAtMost; attempt++) {
+        for (let losses = 0; losses < lossesAtMost;) {
             const placement = await this.place(work, avoid, ran);
             const outcome = await this.sendOnce(call, placement, mayStillSend);
             placement.release(outcome.type === "Answered");
@@ -106,6 +107,12 @@
                 return outcome.answer;
             }
             avoid.add(placement.endpoint.id);
+            if (outcome.type === "NotRun") {
+                // A refusal must not spin; placing refuses once the deadline has passed.
+                await this.parts.clock.sleep(work.deadline.bounded(notRunPauseMilliseconds), work.signal);
+                continue;
+            }
+            losses++;
             if (outcome.type === "Lost") {
                 ran = true;
                 this.parts.table.suspect(placement.endpoint, outcome.reason);
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -28,6 +28,7 @@
 export * from "./core/coldStart.js";
 export * from "./core/suspects.js";
 export * from "./core/retryBudget.js";
+export * from "./core/pauseGuard.js";
 export * from "./core/work.js";
 export * from "./core/routing.js";
 export * from "./core/fairQueue.js";
--- a/src/ports/peerPort.ts
+++ b/src/ports/peerPort.ts
@@ -54,6 +54,15 @@
     Unknown = "unknown",
 }
 
+/** What an entry remembers of a key that must not be used twice. */
+export enum KeyHistory {
+    /** A call with this key was sent, or a claim of it was seen. */
+    Seen = "seen",
+    NotSeen = "notSeen",
+    /** Not seen here, but an entry that may have known died lately. */
+    Incomplete = "incomplete",
+}
+
 /** The peer didn't answer in time. */
 export class PeerLostError extends DandelionrampError {}
 
@@ -64,6 +73,7 @@
     requestPermit(address: string, request: PermitRequest): Promise<PermitAnswer>;
     returnPermit(address: string, request: PermitRequest, succeeded: boolean): Promise<void>;
     claimProgress(address: string, claimName: string, nonce: string): Promise<ClaimProgress>;
+    keyHistory(address: string, claimName: string): Promise<KeyHistory>;
     /** Which of `holdingIds` the peer still uses. */
     liveHoldings(address: string, holdingIds: string[]): Promise<{ incarnation: string; live: string[]; }>;
 }
