At most once and true refusals, proved under failure on fakes at the ports

Entries, engines, services and a platform in one process on vitest's fake timers, with an oracle that knows only what callers sent, endpoints ran and operators were told; single mechanisms can be switched off in tests.

Found: a repeat that waited for another entry's claim ended up to 0.8 s after its deadline, because the question to the holder had a bound of its own.

--- /dev/null
+++ b/__tests__/support/mechanisms.ts
@@ -0,0 +1,112 @@
+/** Switches single mechanisms off, to show that the checks find what each one prevents. Tests only. */
+import { ClaimProgress, Execution, FailureKind, HeldClaim, RequestFailure } from "../../src/internal.js";
+import { FakeEntry } from "./world.js";
+
+type Replacement = (...parameters: never[]) => unknown;
+
+/** Replaces one method of one object, private ones included. */
+const override = (target: object, method: string, replacement: Replacement): void => {
+    if (!(method in target)) {
+        throw new Error(`there is no method ${method} to switch off`);
+    }
+    Object.defineProperty(target, method, { value: replacement, configurable: true });
+};
+
+const overrideGetter = (target: object, property: string, value: () => unknown): void => {
+    Object.defineProperty(target, property, { get: value, configurable: true });
+};
+
+const heldWithoutClaim = (): HeldClaim => ({ name: "", version: 0, value: {} as never });
+
+/** What can be switched off, by name. */
+export const switchOff = {
+    claims: (entry: FakeEntry): void => {
+        const { claims } = entry.node;
+        override(claims, "claim", () => Promise.resolve({ type: "Held", claim: heldWithoutClaim() }));
+        override(claims, "keep", () => Promise.resolve());
+        override(claims, "giveUp", () => Promise.resolve());
+    },
+    /** Claims of silent holders are taken over, as by a lease that lapsed. */
+    claimsStayWithHolder: (entry: FakeEntry): void => {
+        override(entry.node.claims, "holderProgress", () => Promise.resolve(ClaimProgress.Released));
+    },
+    keyHistory: (entry: FakeEntry): void => {
+        override(
+            entry.node.claims,
+            "refuseInOutage",
+            () => Promise.resolve(new RequestFailure(FailureKind.PlatformDown, Execution.NotRun, "outage", 1)),
+        );
+    },
+    /** Calls whose answer was lost are sent again, whatever they are. */
+    sentOnce: (entry: FakeEntry): void => {
+        override(entry.node.serviceCalls, "checkRepeatable", () => undefined);
+    },
+    homes: (entry: FakeEntry): void => {
+        override(entry.node.homes, "mayAct", () => true);
+    },
+    homeLease: (entry: FakeEntry): void => {
+        override(entry.node.homes, "leaseEnd", () => Infinity);
+        override(entry.node.guard, "fresh", () => true);
+    },
+    handOver: (entry: FakeEntry): void => {
+        override(entry.node.homes, "mineSince", () => -Infinity);
+    },
+    suspicion: (entry: FakeEntry): void => {
+        override(entry.node.table, "suspect", () => undefined);
+    },
+    coldUnknown: (entry: FakeEntry): void => {
+        override(entry.node.table, "trust", () => ({ type: "Warm" }));
+    },
+    deadline: (entry: FakeEntry): void => {
+        override(entry.node.generations, "checkDeadline", () => undefined);
+    },
+    frameOffsets: (entry: FakeEntry): void => {
+        override(
+            entry.node.generations,
+            "accept",
+            (frame: { type: string; text: string; count: number; }) =>
+                frame.type === "Tokens"
+                    ? { type: "Text", text: frame.text, tokens: frame.count }
+                    : { type: "End", finishReason: "stop", tokens: 0 },
+        );
+    },
+    provisionalOuts: (entry: FakeEntry): void => {
+        override(entry.node.operations, "spread", () => undefined);
+    },
+    restrictions: (entry: FakeEntry): void => {
+        override(entry.node.restrictions, "forbids", () => false);
+    },
+    pauseGuard: (entry: FakeEntry): void => {
+        override(entry.node.guard, "fresh", () => true);
+    },
+    versionsOnlyRise: (entry: FakeEntry): void => {
+        const { configuration } = entry.node;
+        const objects = (configuration as unknown as { objects: Map<string, object>; }).objects;
+        override(configuration, "take", (object: { kind: string; name: string; }) => {
+            objects.set(`${object.kind}/${object.name}`, object);
+            return true;
+        });
+        override(configuration, "mergeList", (page: { objects: { kind: string; name: string; }[]; }) => {
+            for (const object of page.objects) {
+                objects.set(`${object.kind}/${object.name}`, object);
+            }
+            overrideGetter(configuration, "loaded", () => true);
+            return { type: "Merged" };
+        });
+    },
+    reclaim: (entry: FakeEntry): void => {
+        override(entry.node.holdings, "reclaim", () => Promise.resolve());
+    },
+    suspects: (entry: FakeEntry): void => {
+        override(entry.node.suspects, "isRefused", () => false);
+    },
+    drain: (entry: FakeEntry): void => {
+        override(entry.node, "drain", () => {
+            entry.node.stop();
+            return Promise.resolve();
+        });
+    },
+} satisfies Record<string, (entry: FakeEntry) => void>;
+
+/** Names of the mechanisms. */
+export type Mechanism = keyof typeof switchOff;
--- /dev/null
+++ b/__tests__/support/world.ts
@@ -0,0 +1,629 @@
+/**
+ * Several entries, engines, services and a platform in one process on fake time. The fakes stand at the ports and use
+ * the stand-ins' models; they can be cut, frozen, silenced and killed. There is no network and no scheduler here.
+ */
+import { vi } from "vitest";
+import {
+    absentVersion,
+    ClaimProgress,
+    Clock,
+    EndpointReport,
+    EngineFrame,
+    EngineHolding,
+    EngineLostError,
+    EnginePort,
+    EngineRequest,
+    EntryNode,
+    fingerprint,
+    Heartbeat,
+    InstanceRecord,
+    InstanceRole,
+    InstanceState,
+    KeyHistory,
+    ObjectKind,
+    ObjectPage,
+    PeerConfiguration,
+    PeerLostError,
+    PeerPort,
+    PermitAnswer,
+    PermitRequest,
+    PlatformError,
+    PlatformPort,
+    Random,
+    seededRandom,
+    ServiceAnswer,
+    ServiceLostError,
+    ServicePort,
+    ServiceRequest,
+    silentLog,
+    StoredObject,
+    systemClock,
+    Timeline,
+    WriteOutcome,
+} from "../../src/internal.js";
+import { defaultEngineShape, EngineModel, EngineShape } from "../../src/standins/engineModel.js";
+import { PlatformModel } from "../../src/standins/platformModel.js";
+import { ServiceModel } from "../../src/standins/serviceModel.js";
+
+const stepMilliseconds = 5;
+const callMilliseconds = 1;
+const peerTimeoutMilliseconds = 800;
+const platformTimeoutMilliseconds = 1_000;
+const dataCentres = ["north", "east", "south"];
+const realImmediate = setImmediate;
+
+/** Begins fake time. Call before anything of the world is made. */
+export const useFakeTime = (): void => {
+    vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout", "performance", "Date"], now: 1_800_000_000_000 });
+};
+
+/** Stops one process's progress: everything it waits for stays pending until it goes on. */
+export class Gate {
+    private blocked: Promise<void> | undefined;
+    private open: () => void = () => {};
+
+    get frozen(): boolean {
+        return this.blocked !== undefined;
+    }
+
+    freeze(): void {
+        this.blocked ??= new Promise(resolve => {
+            this.open = resolve;
+        });
+    }
+
+    thaw(): void {
+        this.blocked = undefined;
+        this.open();
+    }
+
+    async pass(): Promise<void> {
+        while (this.blocked) {
+            await this.blocked;
+        }
+    }
+
+    /** Lets an outcome through only while the process runs. */
+    async through<Result>(work: Promise<Result>): Promise<Result> {
+        try {
+            return await work;
+        }
+        finally {
+            await this.pass();
+        }
+    }
+}
+
+/** One engine and what is wrong with the way to it. */
+export class FakeEngine {
+    readonly model: EngineModel;
+    readonly gate = new Gate();
+    /** Grows when every open connection goes silent; new ones work. */
+    silence = 0;
+    /** Cancels that will be lost. */
+    lostReleases = 0;
+    /** Acceptances whose answer will be lost after the stream has started. */
+    lostAcceptances = 0;
+    /** Frames sent again behind their successors, as a late connection would. */
+    repeatsFrames = false;
+    /** Incarnation, request and time of every start. */
+    readonly starts: { requestId: string; entry: string; at: number; }[] = [];
+
+    constructor(readonly record: InstanceRecord, shape: EngineShape, random: Random) {
+        this.model = new EngineModel(shape, systemClock, random);
+        record.incarnation = this.model.incarnation;
+    }
+}
+
+/** One replica of the plain service. */
+export class FakeService {
+    readonly model: ServiceModel;
+    readonly gate = new Gate();
+    lostAnswers = 0;
+    refusesConnections = false;
+    readonly starts: { requestId: string; entry: string; at: number; }[] = [];
+
+    constructor(readonly record: InstanceRecord, random: Random, runs: Map<string, number>) {
+        const shape = { workMilliseconds: 10, concurrency: 64 };
+        this.model = new ServiceModel(shape, systemClock, random, runs);
+    }
+}
+
+/** One entry with its own gate and its own cuts. */
+export class FakeEntry {
+    readonly gate = new Gate();
+    readonly timeline: Timeline;
+    node: EntryNode;
+    alive = true;
+    stopped = false;
+    platformCut = false;
+    frozenUntil = -Infinity;
+
+    constructor(readonly id: string, world: World, index: number) {
+        this.timeline = new Timeline(id, systemClock);
+        const gate = this.gate;
+        const clock: Clock = {
+            now: systemClock.now,
+            wallTime: systemClock.wallTime,
+            sleep: (duration, signal) => gate.through(systemClock.sleep(duration, signal)),
+        };
+        this.node = new EntryNode(
+            { id, dataCentre: dataCentres[index % 3]!, peersAddress: id, seeds: world.seedsOf(id) },
+            {
+                clock,
+                random: seededRandom(world.nextSeed()),
+                platform: new FakePlatformPort(world, this),
+                engines: new FakeEnginePort(world, this),
+                services: new FakeServicePort(world, this),
+                peers: new FakePeerPort(world, this),
+                log: () => silentLog,
+                timeline: this.timeline,
+            },
+        );
+    }
+}
+
+class FakePlatformPort implements PlatformPort {
+    constructor(private readonly world: World, private readonly entry: FakeEntry) {}
+
+    read(kind: ObjectKind, name: string): Promise<StoredObject | undefined> {
+        return this.call(() => this.world.platform.read(kind, name));
+    }
+
+    list(kinds: readonly ObjectKind[]): Promise<ObjectPage> {
+        return this.call(() => this.world.platform.list(kinds));
+    }
+
+    write(kind: ObjectKind, name: string, expectedVersion: number, value: unknown): Promise<WriteOutcome> {
+        return this.change(() => this.world.platform.write(kind, name, expectedVersion, structuredClone(value)));
+    }
+
+    remove(kind: ObjectKind, name: string, expectedVersion: number): Promise<WriteOutcome> {
+        return this.change(() => this.world.platform.write(kind, name, expectedVersion, undefined));
+    }
+
+    async watch(kinds: readonly ObjectKind[], revision: number, signal: AbortSignal): Promise<ObjectPage> {
+        await this.call(() => undefined);
+        const page = await this.entry.gate.through(this.world.platform.watch(kinds, revision, 5_000, signal));
+        this.checkReachable();
+        return structuredClone(page);
+    }
+
+    instances(): Promise<InstanceRecord[]> {
+        return this.call(() => this.world.platform.instances());
+    }
+
+    announce(record: InstanceRecord): Promise<void> {
+        return this.call(() => this.world.platform.announce({ ...record }));
+    }
+
+    private checkReachable(): void {
+        if (this.world.platform.faults.down || this.entry.platformCut) {
+            throw new PlatformError("down", false);
+        }
+    }
+
+    private call<Result>(work: () => Result): Promise<Result> {
+        return this.entry.gate.through(this.attempt(work));
+    }
+
+    private async attempt<Result>(work: () => Result): Promise<Result> {
+        const slow = this.world.platform.faults.slowMilliseconds;
+        if (slow >= platformTimeoutMilliseconds) {
+            await systemClock.sleep(platformTimeoutMilliseconds);
+            // It takes effect later, long after the caller has given up.
+            void systemClock.sleep(slow - platformTimeoutMilliseconds).then(() => work());
+            throw new PlatformError("slow", true);
+        }
+        await systemClock.sleep(callMilliseconds + slow);
+        this.checkReachable();
+        return structuredClone(work());
+    }
+
+    private change(work: () => WriteOutcome): Promise<WriteOutcome> {
+        return this.call(() => {
+            const outcome = work();
+            if (this.world.chance(this.world.platform.faults.lostAnswers)) {
+                throw new PlatformError("the answer was lost", true);
+            }
+            return outcome;
+        });
+    }
+}
+
+class FakeEnginePort implements EnginePort {
+    constructor(private readonly world: World, private readonly entry: FakeEntry) {}
+
+    report(address: string): Promise<EndpointReport> {
+        const service = this.world.services.find(candidate => candidate.record.address === address);
+        return service
+            ? this.entry.gate.through(serviceReport(service))
+            : this.call(address, engine => engine.model.report());
+    }
+
+    async generate(
+        address: string,
+        request: EngineRequest,
+        ...[, signal]: [AbortSignal, AbortSignal]
+    ): Promise<AsyncIterable<EngineFrame>> {
+        const engine = this.world.engine(address);
+        const frames = await this.call(address, ({ model, starts }) => {
+            const requestId = request.streamId.split(".")[0]!;
+            const before = model.runs.get(requestId) ?? 0;
+            const opened = model.open(request);
+            if ((model.runs.get(requestId) ?? 0) > before) {
+                starts.push({ requestId, entry: this.entry.id, at: systemClock.now() });
+            }
+            return opened;
+        });
+        if (engine.lostAcceptances > 0) {
+            engine.lostAcceptances--;
+            throw new EngineLostError("the acceptance was lost", true);
+        }
+        return this.read(engine, frames, signal);
+    }
+
+    async resume(
+        address: string,
+        streamId: string,
+        offset: number,
+        ...[, signal]: [AbortSignal, AbortSignal]
+    ): Promise<AsyncIterable<EngineFrame>> {
+        const frames = await this.call(address, engine => engine.model.resume(streamId, offset));
+        return this.read(this.world.engine(address), frames, signal);
+    }
+
+    release(address: string, holdingId: string): Promise<void> {
+        return this.call(address, engine => {
+            if (engine.lostReleases > 0) {
+                engine.lostReleases--;
+                throw new EngineLostError("the cancel was lost", true);
+            }
+            engine.model.release(holdingId);
+        });
+    }
+
+    reserve(address: string, holding: EngineHolding): Promise<void> {
+        return this.call(address, engine => engine.model.reserve({ ...holding }));
+    }
+
+    holdings(address: string): Promise<EngineHolding[]> {
+        return this.call(address, engine => engine.model.holdings());
+    }
+
+    private call<Result>(address: string, work: (engine: FakeEngine) => Result): Promise<Result> {
+        const engine = this.world.engine(address);
+        return this.entry.gate.through(
+            answered(engine.gate, () => work(engine), () => new EngineLostError("silent", true)),
+        );
+    }
+
+    private async *read(
+        engine: FakeEngine,
+        frames: AsyncGenerator<EngineFrame, void>,
+        signal: AbortSignal,
+    ): AsyncGenerator<EngineFrame, void> {
+        const opened = engine.silence;
+        let earlier: EngineFrame | undefined;
+        const aborted = new Promise<undefined>(resolve => signal.addEventListener("abort", () => resolve(undefined)));
+        try {
+            while (!signal.aborted) {
+                const next = await this.entry.gate.through(Promise.race([frames.next(), aborted]));
+                await engine.gate.pass();
+                if (engine.silence > opened) {
+                    await aborted;
+                    return;
+                }
+                if (!next || next.done) {
+                    return;
+                }
+                yield next.value;
+                if (engine.repeatsFrames && earlier) {
+                    yield earlier;
+                }
+                earlier = next.value;
+            }
+        }
+        finally {
+            void frames.return();
+        }
+    }
+}
+
+/** A call to a process that may be frozen: it is carried out when the process goes on, the caller waits a bound. */
+const answered = async <Result>(gate: Gate, work: () => Result, silent: () => Error): Promise<Result> => {
+    await systemClock.sleep(callMilliseconds);
+    const answer = gate.pass().then(work);
+    answer.catch(() => {});
+    const late = systemClock.sleep(peerTimeoutMilliseconds).then(() => {
+        throw silent();
+    });
+    late.catch(() => {});
+    return Promise.race([answer, late]);
+};
+
+const serviceReport = (service: FakeService): Promise<EndpointReport> =>
+    answered(service.gate, () => {
+        if (!service.model.isUp) {
+            throw new ServiceLostError("down", false);
+        }
+        return service.model.report();
+    }, () => new ServiceLostError("silent", true));
+
+class FakeServicePort implements ServicePort {
+    constructor(private readonly world: World, private readonly entry: FakeEntry) {}
+
+    report(address: string): Promise<EndpointReport> {
+        return this.entry.gate.through(serviceReport(this.world.service(address)));
+    }
+
+    call(address: string, request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> {
+        return this.entry.gate.through(this.attempt(this.world.service(address), request, signal));
+    }
+
+    private async attempt(service: FakeService, request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> {
+        await systemClock.sleep(callMilliseconds);
+        if (signal.aborted) {
+            throw new ServiceLostError("aborted before the connection", false);
+        }
+        if (!service.model.isUp || service.refusesConnections) {
+            throw new ServiceLostError("refused", false);
+        }
+        const cut = new Promise<never>((...[, reject]) => {
+            signal.addEventListener("abort", () => reject(new ServiceLostError("aborted", true)));
+        });
+        return Promise.race([this.run(service, request), cut]);
+    }
+
+    private async run(service: FakeService, request: ServiceRequest): Promise<ServiceAnswer> {
+        await service.gate.pass();
+        const { lifetime } = service.model;
+        service.starts.push({ requestId: request.requestId, entry: this.entry.id, at: systemClock.now() });
+        const answer = await service.model.call(request);
+        if (service.lostAnswers > 0) {
+            service.lostAnswers--;
+            throw new ServiceLostError("the answer was lost", true);
+        }
+        if (lifetime.aborted) {
+            throw new ServiceLostError("the service died", true);
+        }
+        return answer;
+    }
+}
+
+class FakePeerPort implements PeerPort {
+    constructor(private readonly world: World, private readonly entry: FakeEntry) {}
+
+    heartbeat(address: string, heartbeat: Heartbeat): Promise<Heartbeat> {
+        return this.call(address, node => {
+            node.heardFrom(heartbeat);
+            return node.heartbeat();
+        });
+    }
+
+    configurationSince(address: string, revision: number): Promise<PeerConfiguration> {
+        return this.call(address, node => node.configurationSince(revision));
+    }
+
+    requestPermit(address: string, request: PermitRequest): Promise<PermitAnswer> {
+        return this.call(address, node => node.coldStart.answer(request));
+    }
+
+    returnPermit(address: string, request: PermitRequest, succeeded: boolean): Promise<void> {
+        return this.call(address, node => node.coldStart.returned(request, succeeded));
+    }
+
+    claimProgress(address: string, ...[, nonce]: [string, string]): Promise<ClaimProgress> {
+        return this.call(address, node => node.claims.progress(nonce));
+    }
+
+    keyHistory(address: string, claimName: string): Promise<KeyHistory> {
+        return this.call(address, node => node.claims.keyHistory(claimName));
+    }
+
+    liveHoldings(address: string, holdingIds: string[]): Promise<{ incarnation: string; live: string[]; }> {
+        return this.call(address, node => ({ incarnation: node.incarnation, live: node.holdings.liveOf(holdingIds) }));
+    }
+
+    private call<Result>(address: string, work: (node: EntryNode) => Result): Promise<Result> {
+        const peer = this.world.entries.find(entry => entry.id === address && entry.alive);
+        if (!peer || this.world.isParted(this.entry.id, address)) {
+            return this.entry.gate.through(Promise.reject(new PeerLostError("no answer")));
+        }
+        const answer = answered(peer.gate, () => structuredClone(work(peer.node)), () => new PeerLostError("silent"));
+        return this.entry.gate.through(answer);
+    }
+}
+
+/** Size of a world. */
+export interface WorldPlan {
+    seed: number;
+    entries?: number;
+    engines?: number;
+    services?: number;
+    shape?: Partial<EngineShape>;
+    /** Called with each entry before it starts: tests switch single mechanisms off with it. */
+    prepare?: (entry: FakeEntry) => void;
+}
+
+/** Small sizes, so that every limit is met. */
+const smallShape: EngineShape = {
+    ...defaultEngineShape,
+    memoryTokens: 4_000,
+    stepMilliseconds: 10,
+    tokensPerStep: 200,
+    startWarm: true,
+};
+
+const objectsOfWorld: [ObjectKind, string, unknown][] = [
+    [ObjectKind.Profile, "models", { shortPromptTokens: 500, longTokensInFlight: 3_000, maximumAnswerTokens: 200 }],
+    [ObjectKind.Profile, "bookings", { nonIdempotentRoutes: [{ method: "POST", path: "/places" }] }],
+    [ObjectKind.Service, "standin", { kind: "model", profile: "models", gangSize: 2 }],
+    [ObjectKind.Service, "bookings", { kind: "plain", profile: "bookings" }],
+    [ObjectKind.Customer, "hartwell", { keyHashes: [fingerprint("hartwell")], weight: 1 }],
+];
+
+/** Everything outside the entries, and the entries. */
+export class World {
+    readonly platform = new PlatformModel(systemClock);
+    readonly engines: FakeEngine[] = [];
+    readonly services: FakeService[] = [];
+    readonly entries: FakeEntry[] = [];
+    /** Runs of each key over all replicas of the plain service. */
+    readonly runs = new Map<string, number>();
+    private readonly random: Random;
+    private readonly parted = new Set<string>();
+    private entriesMade = 0;
+
+    constructor(readonly plan: WorldPlan) {
+        this.random = seededRandom(plan.seed);
+        for (const [kind, name, value] of objectsOfWorld) {
+            this.platform.write(kind, name, absentVersion, value);
+        }
+        for (let index = 0; index < (plan.engines ?? 4); index++) {
+            this.addEngine(index);
+        }
+        for (let index = 0; index < (plan.services ?? 2); index++) {
+            this.addService(index);
+        }
+        for (let index = 0; index < (plan.entries ?? 3); index++) {
+            this.addEntry();
+        }
+    }
+
+    nextSeed(): number {
+        return Math.floor(this.random.next() * 2 ** 31);
+    }
+
+    chance(share: number): boolean {
+        return share > 0 && this.random.next() < share;
+    }
+
+    engine(address: string): FakeEngine {
+        return this.engines.find(candidate => candidate.record.address === address)!;
+    }
+
+    service(address: string): FakeService {
+        return this.services.find(candidate => candidate.record.address === address)!;
+    }
+
+    /** Peers that an entry's settings name. */
+    seedsOf(id: string): string[] {
+        return this.entries.map(entry => entry.id).filter(other => other !== id);
+    }
+
+    /** Adds a new entry, or a new process for an instance that died. */
+    addEntry(id = `entry-${++this.entriesMade}`): FakeEntry {
+        const entry = new FakeEntry(id, this, Number(id.split("-")[1]) - 1);
+        const former = this.entries.findIndex(candidate => candidate.id === id);
+        if (former >= 0) {
+            this.entries.splice(former, 1);
+        }
+        this.entries.push(entry);
+        this.plan.prepare?.(entry);
+        entry.node.start();
+        return entry;
+    }
+
+    /** Ends an entry's process at once. */
+    kill(entry: FakeEntry): void {
+        entry.alive = false;
+        entry.gate.freeze();
+        entry.node.stop();
+    }
+
+    freeze(entry: FakeEntry): void {
+        entry.gate.freeze();
+    }
+
+    thaw(entry: FakeEntry): void {
+        entry.frozenUntil = systemClock.now();
+        entry.gate.thaw();
+    }
+
+    /** Cuts or heals the way between two entries. */
+    part(first: string, second: string, apart: boolean): void {
+        for (const pair of [`${first}/${second}`, `${second}/${first}`]) {
+            if (apart) {
+                this.parted.add(pair);
+            }
+            else {
+                this.parted.delete(pair);
+            }
+        }
+    }
+
+    isParted(first: string, second: string): boolean {
+        return this.parted.has(`${first}/${second}`);
+    }
+
+    /** Heals everything that can be healed. */
+    heal(): void {
+        Object.assign(this.platform.faults, { down: false, slowMilliseconds: 0, lostAnswers: 0, silentWatches: false });
+        this.parted.clear();
+        for (const engine of this.engines) {
+            engine.gate.thaw();
+            engine.lostReleases = 0;
+            engine.model.revive();
+        }
+        for (const service of this.services) {
+            service.gate.thaw();
+            service.refusesConnections = false;
+            if (!service.model.isUp) {
+                service.model.revive();
+            }
+        }
+        for (const entry of this.entries) {
+            entry.platformCut = false;
+            if (entry.alive && entry.gate.frozen) {
+                this.thaw(entry);
+            }
+        }
+    }
+
+    /** Lets time pass. */
+    async advance(milliseconds: number): Promise<void> {
+        for (let passed = 0; passed < milliseconds; passed += stepMilliseconds) {
+            vi.advanceTimersByTime(stepMilliseconds);
+            await new Promise(resolve => realImmediate(resolve));
+        }
+    }
+
+    /** Lets time pass until `condition` holds, at most `limit` milliseconds; returns whether it held. */
+    async advanceUntil(condition: () => boolean, limit: number): Promise<boolean> {
+        for (let passed = 0; passed < limit && !condition(); passed += stepMilliseconds) {
+            await this.advance(stepMilliseconds);
+        }
+        return condition();
+    }
+
+    /** Lets the entries find one another, the endpoints and their homes. */
+    settle(): Promise<void> {
+        return this.advance(6_000);
+    }
+
+    /** Ends every process. */
+    close(): void {
+        for (const entry of this.entries) {
+            this.kill(entry);
+        }
+    }
+
+    private addEngine(index: number): void {
+        const record = this.record(`engine-${index + 1}`, InstanceRole.Engine, index, "standin");
+        this.engines.push(new FakeEngine(record, { ...smallShape, ...this.plan.shape }, this.random));
+        this.platform.announce(record);
+    }
+
+    private addService(index: number): void {
+        const record = this.record(`bookings-${index + 1}`, InstanceRole.PlainService, index, "bookings");
+        this.services.push(new FakeService(record, this.random, this.runs));
+        this.platform.announce(record);
+    }
+
+    private record(id: string, role: InstanceRole, index: number, service: string): InstanceRecord {
+        // Engines stand in pairs, so that each data centre can form a gang.
+        const dataCentre = dataCentres[(role === InstanceRole.Engine ? Math.floor(index / 2) : index) % 3]!;
+        return { id, role, dataCentre, address: id, incarnation: "", state: InstanceState.Live, service };
+    }
+}
--- a/src/core/claims.ts
+++ b/src/core/claims.ts
@@ -144,7 +144,12 @@
         const value = this.newClaim(bodyFingerprint);
         this.running.add(value.nonce);
         try {
-            const outcome = await this.settle(name, value, deadline);
+            const outcome = await within(
+                this.parts.clock,
+                deadline.remaining(),
+                "settling a claim",
+                () => this.settle(name, value, deadline),
+            );
             if (outcome.type === "Answered") {
                 this.release(value.nonce);
             }
@@ -152,6 +157,9 @@
         }
         catch (error) {
             this.release(value.nonce);
+            if (error instanceof TimeLimitError) {
+                throw outcomeUnknown("the first call with this key has not ended, or the platform can't say");
+            }
             throw error;
         }
     }
--- a/src/core/entryNode.ts
+++ b/src/core/entryNode.ts
@@ -39,6 +39,7 @@
     Router,
     ServiceCalls,
     ServicePort,
+    sharedAbort,
     Suspects,
     Timeline,
     watchConfiguration,
@@ -93,7 +94,7 @@
     /** Requests of callers that are being served. */
     activeRequests = 0;
     private state = InstanceState.Live;
-    private readonly stopping = new AbortController();
+    private readonly stopping = sharedAbort();
     private readonly log: PartLog;
 
     constructor(readonly identity: EntryIdentity, readonly ports: EntryPorts) {
--- a/src/standins/engineModel.ts
+++ b/src/standins/engineModel.ts
@@ -14,6 +14,7 @@
     Milliseconds,
     Random,
     randomIdentifier,
+    sharedAbort,
 } from "../internal.js";
 import { answerLength, answerSeed, answerToken, isCrashing } from "./answer.js";
 
@@ -113,7 +114,7 @@
     private fence = 0;
     private stepping = false;
     /** Aborts when the process dies: every connection of it is cut. */
-    private life = new AbortController();
+    private life = sharedAbort();
 
     constructor(
         readonly shape: EngineShape,
@@ -316,7 +317,7 @@
         this.reservations = new Map();
         this.exported = new Map();
         this.life.abort();
-        this.life = new AbortController();
+        this.life = sharedAbort();
     }
 
     /** Starts again, cold and empty. */
--- a/src/standins/serviceModel.ts
+++ b/src/standins/serviceModel.ts
@@ -8,6 +8,7 @@
     randomIdentifier,
     ServiceAnswer,
     ServiceRequest,
+    sharedAbort,
 } from "../internal.js";
 
 /** Speed of a plain service. */
@@ -25,7 +26,7 @@
     /** Time from the run itself to its answer: faults fall into it. */
     answerDelayMilliseconds = 0;
     private running = 0;
-    private life = new AbortController();
+    private life = sharedAbort();
     private up = true;
 
     constructor(
@@ -76,7 +77,7 @@
         this.up = false;
         this.running = 0;
         this.life.abort();
-        this.life = new AbortController();
+        this.life = sharedAbort();
     }
 
     revive(): void {
--- a/src/utils/bounds.ts
+++ b/src/utils/bounds.ts
@@ -1,4 +1,5 @@
 /** Every wait on something outside this process has a bound; these functions set it. */
+import { setMaxListeners } from "node:events";
 import { Clock, Milliseconds, TimeLimitError } from "../internal.js";
 
 /**
@@ -38,6 +39,13 @@
     }
 };
 
+/** An abort controller that many tasks may listen to; Node would warn of a leak from the eleventh on. */
+export const sharedAbort = (): AbortController => {
+    const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
+    return controller;
+};
+
 /** Resolves when `signal` aborts, or at once when it has aborted already. */
 export const aborted = (signal: AbortSignal): Promise<void> =>
     new Promise(resolve => {
