Cold endpoints keep their small budget until they report warm; a woken entry waits until somebody can tell it the news

Ruled out: late reports (the home's own permits counted). Cause: after a pause the guard let sends go on although neither platform nor peers had answered. Now it waits for one.

--- a/__tests__/support/world.ts
+++ b/__tests__/support/world.ts
@@ -411,8 +411,8 @@
         return this.call(address, node => node.coldStart.answer(request));
     }
 
-    returnPermit(address: string, request: PermitRequest, succeeded: boolean): Promise<void> {
-        return this.call(address, node => node.coldStart.returned(request, succeeded));
+    returnPermit(address: string, request: PermitRequest): Promise<void> {
+        return this.call(address, node => node.coldStart.returned(request));
     }
 
     claimProgress(address: string, ...[, nonce]: [string, string]): Promise<ClaimProgress> {
--- a/src/adapters/peerClient.ts
+++ b/src/adapters/peerClient.ts
@@ -36,8 +36,8 @@
         return this.call(address, PeerMethod.RequestPermit, { request });
     }
 
-    async returnPermit(address: string, request: PermitRequest, succeeded: boolean): Promise<void> {
-        await this.call(address, PeerMethod.ReturnPermit, { request, succeeded });
+    async returnPermit(address: string, request: PermitRequest): Promise<void> {
+        await this.call(address, PeerMethod.ReturnPermit, { request });
     }
 
     claimProgress(address: string, claimName: string, nonce: string): Promise<ClaimProgress> {
--- a/src/adapters/peerServer.ts
+++ b/src/adapters/peerServer.ts
@@ -31,8 +31,8 @@
     );
     server.addMethod(
         PeerMethod.ReturnPermit,
-        ({ request, succeeded }: { request: PermitRequest; succeeded: boolean; }) => {
-            node.coldStart.returned(request, succeeded);
+        ({ request }: { request: PermitRequest; }) => {
+            node.coldStart.returned(request);
             return true;
         },
     );
--- a/src/core/coldStart.ts
+++ b/src/core/coldStart.ts
@@ -11,7 +11,6 @@
     PermitRequest,
     permitSendMilliseconds,
     Profile,
-    Timeline,
 } from "../internal.js";
 
 /** How long a permit whose holder says nothing counts as in use. */
@@ -30,21 +29,12 @@
     sendBefore: Milliseconds;
 }
 
-interface Ledger {
-    /** Incarnation and last suspicion that the evidence is about: after either changed it proves nothing. */
-    subject: string;
-    limit: number;
-    successes: number;
-    outstanding: Map<string, Milliseconds>;
-}
-
 /** What cold start works with. */
 export interface ColdStartParts {
     clock: Clock;
     homes: Homes;
     membership: Membership;
     peers: PeerPort;
-    timeline: Timeline;
     self: string;
     endpoint: (id: string) => Endpoint | undefined;
     profileFor: (endpoint: Endpoint) => Profile;
@@ -53,12 +43,12 @@
 /**
  * Gives, asks for and returns permits.
  *
- * The home counts its permits and what the engine itself reports, and takes the larger: permits of an earlier home
- * still run on the engine. The limit grows by answers, never by time, because an endpoint that gets no work does not
- * warm up.
+ * A cold endpoint gets the profile's small number of requests at once until it reports itself warm: neither time nor
+ * answers at a low load show what more it bears. The home counts its permits and what the endpoint itself reports, and
+ * takes the larger, because permits of an earlier home still run there.
  */
 export class ColdStart {
-    private readonly ledgers = new Map<string, Ledger>();
+    private readonly outstanding = new Map<string, Map<string, Milliseconds>>();
     /** The suspect that runs on each endpoint, by permit, and until when it counts. */
     private readonly suspectSlots = new Map<string, { permitId: string; expiresAt: Milliseconds; }>();
 
@@ -98,16 +88,16 @@
         return this.parts.clock.now() < permit.sendBefore;
     }
 
-    /** Gives a permit back to its home with what came of it. */
-    async giveBack(permit: Permit, succeeded: boolean): Promise<void> {
+    /** Gives a permit back to its home. */
+    async giveBack(permit: Permit): Promise<void> {
         const request = this.requestOf(permit);
         if (permit.home === this.parts.self) {
-            this.returned(request, succeeded);
+            this.returned(request);
             return;
         }
         const peer = this.parts.membership.peer(permit.home);
         try {
-            await (peer && this.parts.peers.returnPermit(peer.record.address, request, succeeded));
+            await (peer && this.parts.peers.returnPermit(peer.record.address, request));
         }
         catch (error) {
             // The home counts the permit until it expires; no harm but some slowness.
@@ -124,33 +114,17 @@
     }
 
     /** Notes a permit that came back. */
-    returned(request: PermitRequest, succeeded: boolean): void {
+    returned(request: PermitRequest): void {
         if (this.suspectSlots.get(request.endpoint)?.permitId === request.permitId) {
             this.suspectSlots.delete(request.endpoint);
         }
-        const endpoint = this.parts.endpoint(request.endpoint);
-        const ledger = this.ledgers.get(request.endpoint);
-        if (!endpoint || !ledger || !ledger.outstanding.delete(request.permitId)) {
-            return;
-        }
-        const profile = this.parts.profileFor(endpoint);
-        if (!succeeded) {
-            ledger.limit = profile.coldConcurrency;
-            ledger.successes = 0;
-            return;
-        }
-        ledger.successes++;
-        if (ledger.successes >= profile.coldEvidence * ledger.limit) {
-            ledger.limit = Math.min(profile.warmConcurrency, ledger.limit + profile.coldConcurrency);
-            ledger.successes = 0;
-            this.parts.timeline.record("coldStart", "raised", undefined, `${endpoint.id} to ${ledger.limit}`);
-        }
+        this.outstanding.get(request.endpoint)?.delete(request.permitId);
     }
 
     /** Requests that the home would let onto a cold endpoint now. */
     room(endpoint: Endpoint): number {
-        const ledger = this.ledger(endpoint);
-        return ledger.limit - Math.max(ledger.outstanding.size, endpoint.report?.running ?? 0);
+        const used = Math.max(this.outstandingOf(endpoint).size, endpoint.report?.running ?? 0);
+        return this.parts.profileFor(endpoint).coldConcurrency - used;
     }
 
     private newPermit(endpoint: Endpoint, home: string, permitId: string, suspect: boolean): Permit {
@@ -169,8 +143,8 @@
         if (!this.parts.homes.mayAct(endpoint.id) || trust === "Closed") {
             return PermitAnswer.Denied;
         }
-        const ledger = this.ledger(endpoint);
-        if (ledger.outstanding.has(permitId)) {
+        const outstanding = this.outstandingOf(endpoint);
+        if (outstanding.has(permitId)) {
             return PermitAnswer.Granted;
         }
         const slot = this.suspectSlots.get(endpoint.id);
@@ -179,27 +153,26 @@
             return PermitAnswer.Denied;
         }
         const expiresAt = now + permitHoldMilliseconds;
-        ledger.outstanding.set(permitId, expiresAt);
+        outstanding.set(permitId, expiresAt);
         if (suspect) {
             this.suspectSlots.set(endpoint.id, { permitId, expiresAt });
         }
         return PermitAnswer.Granted;
     }
 
-    private ledger(endpoint: Endpoint): Ledger {
-        const subject = `${endpoint.report?.incarnation}/${endpoint.suspectedAt}`;
-        let ledger = this.ledgers.get(endpoint.id);
-        if (!ledger || ledger.subject !== subject) {
-            const limit = this.parts.profileFor(endpoint).coldConcurrency;
-            ledger = { subject, limit, successes: 0, outstanding: ledger?.outstanding ?? new Map() };
-            this.ledgers.set(endpoint.id, ledger);
+    /** Permits of an endpoint that still count, with their ends. */
+    private outstandingOf(endpoint: Endpoint): Map<string, Milliseconds> {
+        let permits = this.outstanding.get(endpoint.id);
+        if (!permits) {
+            permits = new Map();
+            this.outstanding.set(endpoint.id, permits);
         }
         const now = this.parts.clock.now();
-        for (const [permitId, expiresAt] of ledger.outstanding) {
+        for (const [permitId, expiresAt] of permits) {
             if (expiresAt <= now) {
-                ledger.outstanding.delete(permitId);
+                permits.delete(permitId);
             }
         }
-        return ledger;
+        return permits;
     }
 }
--- a/src/core/entryNode.ts
+++ b/src/core/entryNode.ts
@@ -147,7 +147,6 @@
             homes,
             membership,
             peers,
-            timeline,
             self: identity.id,
             endpoint: id => table.get(id),
             profileFor: endpoint => this.profileFor(endpoint),
@@ -340,11 +339,13 @@
         return this.ports.clock.now();
     }
 
-    /** Learns what peers and platform know now. */
-    private async refresh(): Promise<void> {
-        const reader = listConfiguration(this.readerParts()).catch(() => undefined);
-        await Promise.all([this.membership.askPeers(), reader]);
+    /** Learns what peers and platform know now; false while none of them answers. */
+    private async refresh(): Promise<boolean> {
+        const listed = listConfiguration(this.readerParts()).then(() => true, () => false);
+        const [platformAnswered, peersAnswered] = await Promise.all([listed, this.membership.askPeers()]);
         this.table.changed.notify();
+        // Without peers no other entry can have taken an order meanwhile.
+        return platformAnswered || peersAnswered > 0 || this.membership.peers().length === 0;
     }
 
     private readerParts(): ConfigurationReaderParts {
--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -71,7 +71,7 @@
     members: Endpoint[];
     gang?: { reservationId: string; size: number; };
     sendAllowed(): boolean;
-    release(succeeded: boolean): void;
+    release(): void;
 }
 
 /** How one attempt ended. */
@@ -177,7 +177,7 @@
             if (!finished) {
                 void this.parts.holdings.release(place.endpoint.record.address, streamId);
             }
-            place.release(finished);
+            place.release();
         }
     }
 
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -91,9 +91,10 @@
         return [...names, this.parts.self().id];
     }
 
-    /** Exchanges one heartbeat with every peer, for news missed during a pause. */
-    async askPeers(): Promise<void> {
-        await Promise.all(this.peers().map(peer => this.askPeer(peer)));
+    /** Exchanges one heartbeat with every peer, for news missed during a pause; returns how many answered. */
+    async askPeers(): Promise<number> {
+        const answers = await Promise.all(this.peers().map(peer => this.askPeer(peer)));
+        return answers.filter(answered => answered).length;
     }
 
     /** Sends the next heartbeat to every peer at once, because there is news. */
@@ -209,7 +210,7 @@
         }
     }
 
-    private async askPeer(peer: PeerState): Promise<void> {
+    private async askPeer(peer: PeerState): Promise<boolean> {
         const askedAt = this.parts.clock.now();
         try {
             const heartbeat = await this.parts.peers.heartbeat(peer.record.address, this.parts.ownHeartbeat());
@@ -219,9 +220,11 @@
             peer.heartbeat = heartbeat;
             peer.askedAt = askedAt;
             await this.parts.heard(peer.record.address, heartbeat);
+            return true;
         }
         catch (error) {
             this.parts.log.warn("A peer does not answer.", { peer: peer.record.id, reason: describeError(error) });
+            return false;
         }
     }
 }
--- a/src/core/pauseGuard.ts
+++ b/src/core/pauseGuard.ts
@@ -1,6 +1,8 @@
 /** Notices that this process was paused, and holds sends back until its knowledge is fresh again. */
 import { Clock, Milliseconds, PartLog, Timeline } from "../internal.js";
 
+/** Time between two tries to learn what happened during a pause. */
+const refreshRetryMilliseconds = 300;
 const tickMilliseconds = 200;
 /** Time without a tick after which this process counts as having been paused. */
 const pausedMilliseconds = 1_200;
@@ -10,8 +12,8 @@
     clock: Clock;
     log: PartLog;
     timeline: Timeline;
-    /** Learns what happened meanwhile. Ends within a bound, whether it succeeded or not. */
-    refresh: () => Promise<void>;
+    /** Tries to learn what happened meanwhile; ends within a bound and says whether anybody could tell. */
+    refresh: () => Promise<boolean>;
 }
 
 /**
@@ -47,17 +49,15 @@
                 this.parts.log.warn("This process was paused.", { milliseconds: Math.round(pause) });
                 this.parts.timeline.record("entry", "paused", undefined, `${Math.round(pause)} ms`);
                 // Not awaited: the ticks must go on, or the refresh itself would look like a pause.
-                void this.refresh();
+                void this.refresh(signal);
             }
         }
     }
 
-    private async refresh(): Promise<void> {
-        try {
-            await this.parts.refresh();
-        }
-        finally {
-            this.refreshing = false;
+    private async refresh(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted && !await this.parts.refresh()) {
+            await this.parts.clock.sleep(refreshRetryMilliseconds, signal);
         }
+        this.refreshing = false;
     }
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -36,7 +36,7 @@
     permit: Permit | undefined;
     /** Whether the send may still happen. Ask in the same synchronous step as the send. */
     sendAllowed(): boolean;
-    release(succeeded: boolean): void;
+    release(): void;
 }
 
 /** What placing works with. */
@@ -285,10 +285,10 @@
             attemptId,
             permit,
             sendAllowed: () => this.sendAllowed(endpoint, permit),
-            release: succeeded => {
+            release: () => {
                 endpoint.inFlight.delete(attemptId);
                 if (permit) {
-                    void this.parts.coldStart.giveBack(permit, succeeded);
+                    void this.parts.coldStart.giveBack(permit);
                 }
                 this.parts.table.changed.notify();
             },
--- a/src/core/serviceCall.ts
+++ b/src/core/serviceCall.ts
@@ -101,7 +101,7 @@
         for (let losses = 0; losses < lossesAtMost;) {
             const placement = await this.place(work, avoid, ran);
             const outcome = await this.sendOnce(call, placement, mayStillSend);
-            placement.release(outcome.type === "Answered");
+            placement.release();
             this.parts.timeline.record("service", outcome.type, work.requestId, placement.endpoint.id);
             if (outcome.type === "Answered") {
                 return outcome.answer;
--- a/src/ports/peerPort.ts
+++ b/src/ports/peerPort.ts
@@ -73,7 +73,7 @@
     heartbeat(address: string, heartbeat: Heartbeat): Promise<Heartbeat>;
     configurationSince(address: string, revision: number): Promise<PeerConfiguration>;
     requestPermit(address: string, request: PermitRequest): Promise<PermitAnswer>;
-    returnPermit(address: string, request: PermitRequest, succeeded: boolean): Promise<void>;
+    returnPermit(address: string, request: PermitRequest): Promise<void>;
     claimProgress(address: string, claimName: string, nonce: string): Promise<ClaimProgress>;
     keyHistory(address: string, claimName: string): Promise<KeyHistory>;
     /** Which of `holdingIds` the peer still uses. */
--- a/src/types/objects.ts
+++ b/src/types/objects.ts
@@ -70,8 +70,6 @@
     longTokensInFlight: positive.default(400_000),
     /** Requests that an endpoint in cold start bears at once. */
     coldConcurrency: positive.default(1),
-    /** Answers at one level of concurrency before a cold endpoint gets more. */
-    coldEvidence: positive.default(2),
     /** Requests that one warm endpoint takes at once. */
     warmConcurrency: positive.default(64),
     /** Silence on a stream after which its connection is no longer trusted. */
