--- a/__tests__/support/world.ts
+++ b/__tests__/support/world.ts
@@ -249,12 +249,16 @@
         ...[, signal]: [AbortSignal, AbortSignal]
     ): Promise<AsyncIterable<EngineFrame>> {
         const engine = this.world.engine(address);
+        const at = systemClock.now();
         const frames = await this.call(address, ({ model, starts }) => {
+            if (signal.aborted) {
+                throw new EngineLostError("the caller went away", true);
+            }
             const requestId = request.streamId.split(".")[0]!;
             const before = model.runs.get(requestId) ?? 0;
             const opened = model.open(request);
             if ((model.runs.get(requestId) ?? 0) > before) {
-                starts.push({ requestId, entry: this.entry.id, at: systemClock.now() });
+                starts.push({ requestId, entry: this.entry.id, at });
             }
             return opened;
         });
@@ -378,9 +382,10 @@
     }
 
     private async run(service: FakeService, request: ServiceRequest): Promise<ServiceAnswer> {
+        const at = systemClock.now();
         await service.gate.pass();
         const { lifetime } = service.model;
-        service.starts.push({ requestId: request.requestId, entry: this.entry.id, at: systemClock.now() });
+        service.starts.push({ requestId: request.requestId, entry: this.entry.id, at });
         const answer = await service.model.call(request);
         if (service.lostAnswers > 0) {
             service.lostAnswers--;
--- /dev/null
+++ b/scripts/fuzz.js
@@ -0,0 +1,29 @@
+// Long hunts: npm run fuzz -- --seeds N [--first S] [--no-shrink] [--timeline] | --checker [--without NAME,NAME]
+import { parseArgs } from "node:util";
+import { startVitest } from "vitest/node";
+
+const { values } = parseArgs({
+    options: {
+        seeds: { type: "string", default: "50" },
+        first: { type: "string", default: "1" },
+        "no-shrink": { type: "boolean", default: false },
+        timeline: { type: "boolean", default: false },
+        checker: { type: "boolean", default: false },
+        without: { type: "string" },
+    },
+});
+
+process.env.FUZZ_SEEDS = values.seeds;
+process.env.FUZZ_FIRST = values.first;
+if (!values["no-shrink"]) {
+    process.env.FUZZ_SHRINK = "1";
+}
+if (values.timeline) {
+    process.env.FUZZ_TIMELINE = "1";
+}
+if (values.without !== undefined) {
+    process.env.FUZZ_WITHOUT = values.without;
+}
+const file = values.checker ? "__tests__/fuzz/checker.hunt.ts" : "__tests__/fuzz/seeds.test.ts";
+const vitest = await startVitest("test", [file], { watch: false, include: [file], reporters: ["verbose"] });
+await vitest.close();
--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -27,6 +27,7 @@
     totalMilliseconds: Milliseconds;
     outcome: CallOutcome;
     status: number;
+    requestId?: string;
     execution?: string;
     detail?: string;
     retryAfterSeconds?: number;
@@ -125,6 +126,7 @@
             totalMilliseconds: clock.now() - startedAt,
             outcome: judge(state, expectedAnswer(arrival.prompt, options.answerTokens)),
             status: 200,
+            requestId: answer.headers["x-request-id"] as string | undefined,
             execution: problem.execution,
             detail: problem.detail,
         };
@@ -155,6 +157,7 @@
         totalMilliseconds: clock.now() - base.startedAt,
         outcome: CallOutcome.Refused,
         status: answer.status,
+        requestId: problem.requestId,
         execution: problem.execution,
         detail: problem.detail,
         retryAfterSeconds: retryAfter === undefined ? undefined : Number(retryAfter),
--- a/src/standins/engineServer.ts
+++ b/src/standins/engineServer.ts
@@ -234,6 +234,7 @@
             crashes: model.crashes,
             streams: [...model.runs.values()].reduce((sum, runs) => sum + runs, 0),
         }),
+        runs: () => Object.fromEntries(model.runs),
         close: () => listener.close(),
     };
 };
--- a/src/standins/faultPort.ts
+++ b/src/standins/faultPort.ts
@@ -17,9 +17,11 @@
     apply(order: FaultOrder): void;
     /** What the stand-in has counted. */
     counts(): object;
+    /** Runs by request id, or by key of a plain service. */
+    runs(): Record<string, number>;
 }
 
-/** Serves the control port: `POST /faults`, `GET /counts`, `GET /events`. */
+/** Serves the control port: `POST /faults`, `GET /counts`, `GET /runs`, `GET /events`. */
 export const serveFaults = (target: FaultTarget, address: string): Promise<Listener> =>
     listen(address, async (request, response) => {
         const { method, path, query } = requestTarget(request);
@@ -27,12 +29,16 @@
             sendJson(response, 200, target.counts());
             return;
         }
+        if (path === "/runs") {
+            sendJson(response, 200, target.runs());
+            return;
+        }
         if (path === "/events") {
             sendJson(response, 200, target.timeline.page(Number(query.get("from") ?? 0)));
             return;
         }
         if (path !== "/faults" || method !== "POST") {
-            sendJson(response, 404, { error: "expected POST /faults, GET /counts or GET /events" });
+            sendJson(response, 404, { error: "expected POST /faults, GET /counts, GET /runs or GET /events" });
             return;
         }
         try {
--- a/src/standins/platformServer.ts
+++ b/src/standins/platformServer.ts
@@ -50,7 +50,14 @@
         model.write(kind, name, absentVersion, value);
     }
     const listener = await listen(address, (request, response) => serve(model, clock, request, response));
-    return { model, listener, timeline, apply: order => applyFault(model, order), counts: () => ({ ...model.counts }) };
+    return {
+        model,
+        listener,
+        timeline,
+        apply: order => applyFault(model, order),
+        counts: () => ({ ...model.counts }),
+        runs: () => ({}),
+    };
 };
 
 const serve = async (
--- a/src/standins/serviceServer.ts
+++ b/src/standins/serviceServer.ts
@@ -89,5 +89,13 @@
         }
     };
     const counts = () => ({ keys: runs.size, doubled: [...runs].filter(([, count]) => count > 1).map(([key]) => key) });
-    return { model, listener, timeline, apply, counts, close: () => listener.close() };
+    return {
+        model,
+        listener,
+        timeline,
+        apply,
+        counts,
+        runs: () => Object.fromEntries(runs),
+        close: () => listener.close(),
+    };
 };
