An out holds until it is stored or lifted by name, not until any later version

An older order to bring it in, given up on while the platform was slow, took effect later with a higher version and ended the provisional out. Ruled out: a late watch (all entries held the in at the time). Outs now have names; an order in lists the outs it lifts.

--- a/__tests__/fuzz/commands.ts
+++ b/__tests__/fuzz/commands.ts
@@ -285,7 +285,7 @@
         fc.tuple(fc.nat({ max: 1 }), fc.constantFrom(...serviceFaults)).map(([service, fault]) =>
             serviceFault(service, fault)
         ),
-        fc.tuple(fc.constantFrom(...platformFaults), fc.integer({ min: 5, max: 80 }))
+        fc.tuple(fc.constantFrom(...platformFaults), fc.integer({ min: 5, max: 150 }))
             .map(([fault, tenths]) => platformFault(fault, tenths * 100)),
         fc.tuple(index, index, fc.integer({ min: 5, max: 80 })).map(([first, second, tenths]) =>
             part(first, second, tenths * 100)
@@ -294,6 +294,9 @@
             .map(([entry, direction, dataCentre]) => restrict(entry, direction, dataCentre)),
         fc.tuple(index, fc.constantFrom("raced", "models"), fc.integer({ min: 300, max: 900 }))
             .map(([entry, name, value]) => change(entry, name, value)),
+        fc.tuple(index, fc.constantFrom("north", "east")).map(([entry, dataCentre]) =>
+            restrict(entry, "out", dataCentre)
+        ),
         index.map(removeOfList),
         fc.integer({ min: 300, max: 900 }).map(foreignWrite),
     ], { maxCommands: maximum, size: "max" });
--- a/__tests__/stops.test.ts
+++ b/__tests__/stops.test.ts
@@ -141,6 +141,27 @@
     expect(await play({}, outAndIn)).toEqual([]);
 });
 
+/**
+ * The platform is slow: an order to bring a data centre in has been given up on and still takes effect, after a newer
+ * order took the data centre out. The newer order must hold.
+ */
+const lateIn = async (scene: Scene): Promise<void> => {
+    const { world, callers, pass, entry } = scene;
+    await Promise.all([callers.restrict(entry(0), "out", "dataCentre", "north"), pass(1_000)]);
+    world.platform.faults.slowMilliseconds = 3_000;
+    void callers.restrict(entry(0), "in", "dataCentre", "north");
+    await pass(1_500);
+    void callers.restrict(entry(1), "out", "dataCentre", "north");
+    await steady(scene, 20);
+    world.platform.faults.slowMilliseconds = 0;
+    await steady(scene, 40);
+    expect(world.entries.every(each => each.node.restrictions.isOut("dataCentre", "north"))).toBe(true);
+};
+
+test("late order in after an order out", async () => {
+    expect(await play({}, lateIn)).toEqual([]);
+});
+
 test("endpoint leaving", async () => {
     // An engine is on the list as leaving while its process still takes work: it must get none.
     const leaving = async (scene: Scene): Promise<void> => {
--- a/__tests__/support/callers.ts
+++ b/__tests__/support/callers.ts
@@ -268,7 +268,7 @@
         const { end, requestId } = request;
         if (!end) {
             // A caller whose entry died or stands still has a broken connection, not a late answer.
-            const cut = !request.entry.alive || request.entry.gate.frozen;
+            const cut = (!request.entry.alive || request.entry.gate.frozen) && !request.entry.cutsAtStop;
             const late = systemClock.now() > request.deadlineAt + deadlineSlackMilliseconds;
             return (late || final) && !cut ? [`${requestId} has not ended`] : [];
         }
--- a/__tests__/support/mechanisms.ts
+++ b/__tests__/support/mechanisms.ts
@@ -102,6 +102,8 @@
     },
     drain: (entry: FakeEntry): void => {
         override(entry.node, "drain", () => {
+            entry.cutsAtStop = true;
+            entry.gate.freeze();
             entry.node.stop();
             return Promise.resolve();
         });
--- a/__tests__/support/world.ts
+++ b/__tests__/support/world.ts
@@ -137,6 +137,8 @@
     alive = true;
     stopped = false;
     platformCut = false;
+    /** Set where a planned stop cuts what runs. */
+    cutsAtStop = false;
     /** Set by tests to show what the deadline is for. */
     ignoresDeadlines = false;
     frozenUntil = -Infinity;
@@ -214,7 +216,7 @@
         if (slow >= platformTimeoutMilliseconds) {
             await systemClock.sleep(platformTimeoutMilliseconds);
             // It takes effect later, long after the caller has given up.
-            void systemClock.sleep(slow - platformTimeoutMilliseconds).then(() => work());
+            void systemClock.sleep(slow - platformTimeoutMilliseconds).then(work).catch(() => undefined);
             throw new PlatformError("slow", true);
         }
         await systemClock.sleep(callMilliseconds + slow);
--- a/src/core/operations.ts
+++ b/src/core/operations.ts
@@ -5,6 +5,7 @@
     Configuration,
     DandelionrampError,
     describeError,
+    InvalidObjectError,
     Membership,
     Milliseconds,
     ObjectKind,
@@ -17,6 +18,8 @@
     Random,
     randomIdentifier,
     Restrictions,
+    Serving,
+    servingKindOf,
     ServingState,
     StoredObject,
     Timeline,
@@ -27,6 +30,16 @@
 const writeRetryMilliseconds = 100;
 const provisionalRetryMilliseconds = 500;
 
+/** Lifted outs that are remembered; more than can wait at the same time. */
+const liftsKept = 64;
+
+/** Every out that an object has ever held or lifted, as far as it is remembered. */
+const liftsOf = (serving: Serving | undefined): string[] => {
+    const lifts = serving?.lifts ?? [];
+    const own = serving?.state === ServingState.Out && serving.change !== undefined ? [serving.change] : [];
+    return [...lifts, ...own].slice(-liftsKept);
+};
+
 /** What became of an operator's change. */
 export type ChangeOutcome =
     /** In the platform: accepted, and spreading. */
@@ -63,7 +76,10 @@
      * InvalidObjectError for a bad value and {@link ChangeUncertainError} while the platform doesn't answer.
      */
     async change(kind: ObjectKind, name: string, value: unknown, expectedVersion?: number): Promise<ChangeOutcome> {
-        const expected = expectedVersion ?? await this.currentVersion(kind, name);
+        if (kind === ObjectKind.DataCentre || kind === ObjectKind.Instance) {
+            throw new InvalidObjectError(`${kind}: change its state with the commands out and in`);
+        }
+        const expected = expectedVersion ?? (await this.current(kind, name))?.version ?? absentVersion;
         if (value === undefined) {
             return this.settle(kind, name, expected, undefined);
         }
@@ -72,28 +88,37 @@
         return this.settle(kind, name, expected, identified);
     }
 
-    /** Takes a data centre or an instance out; in an outage provisionally. */
+    /** Takes a data centre or an instance out; in an outage provisionally. It holds until somebody brings it back in. */
     async takeOut(kind: ProvisionalOut["kind"], name: string): Promise<ChangeOutcome> {
-        const objectKind = kind === "dataCentre" ? ObjectKind.DataCentre : ObjectKind.Instance;
-        const out: ProvisionalOut = { kind, name, againstVersion: this.parts.configuration.version(objectKind, name) };
+        const out: ProvisionalOut = { kind, name, outId: randomIdentifier(this.parts.random) };
         // In force here and at the peers first: a slow platform must not delay it.
         this.spread([out]);
-        try {
-            return await this.change(objectKind, name, { state: ServingState.Out });
-        }
-        catch (error) {
-            if (error instanceof ChangeUncertainError) {
+        const until = this.tryUntil();
+        while (true) {
+            const outcome = await this.storeOut(out);
+            if (outcome?.type === "Accepted") {
+                return outcome;
+            }
+            if (this.parts.clock.now() >= until) {
                 this.parts.log.warn("An out is provisional until the platform returns.", { kind, name });
                 return { type: "Provisional" };
             }
-            throw error;
+            await this.parts.clock.sleep(writeRetryMilliseconds);
         }
     }
 
     /** Brings a data centre or an instance back in. Needs the platform. */
-    bringIn(kind: ProvisionalOut["kind"], name: string): Promise<ChangeOutcome> {
-        const objectKind = kind === "dataCentre" ? ObjectKind.DataCentre : ObjectKind.Instance;
-        return this.change(objectKind, name, { state: ServingState.In });
+    async bringIn(kind: ProvisionalOut["kind"], name: string): Promise<ChangeOutcome> {
+        const objectKind = servingKindOf(kind);
+        const stored = await this.current(objectKind, name);
+        const serving = stored?.value as Serving | undefined;
+        const pending = this.parts.restrictions.pendingOf(kind, name).map(out => out.outId);
+        const value: Serving = {
+            state: ServingState.In,
+            change: randomIdentifier(this.parts.random),
+            lifts: [...liftsOf(serving), ...pending].slice(-liftsKept),
+        };
+        return this.settle(objectKind, name, stored?.version ?? absentVersion, value);
     }
 
     /** Takes outs from an operator or a peer and passes news on. */
@@ -110,32 +135,38 @@
     async writeProvisional(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             for (const out of this.parts.restrictions.pending()) {
-                await this.writeOut(out);
+                await this.storeOut(out);
             }
             await this.parts.clock.sleep(provisionalRetryMilliseconds, signal);
         }
     }
 
-    private async writeOut(out: ProvisionalOut): Promise<void> {
-        const kind = out.kind === "dataCentre" ? ObjectKind.DataCentre : ObjectKind.Instance;
-        const value = { state: ServingState.Out, change: randomIdentifier(this.parts.random) };
+    /** Tries once to store an out against the version held; undefined when the platform doesn't answer. */
+    private async storeOut(out: ProvisionalOut): Promise<ChangeOutcome | undefined> {
+        const kind = servingKindOf(out.kind);
+        const held = this.parts.configuration.object(kind, out.name);
+        const value: Serving = {
+            state: ServingState.Out,
+            change: out.outId,
+            lifts: liftsOf(held?.value as Serving | undefined),
+        };
         try {
-            const outcome = await this.parts.platform.write(kind, out.name, out.againstVersion, value);
-            this.learn(kind, out.name, outcome, value);
+            const outcome = await this.parts.platform.write(kind, out.name, held?.version ?? absentVersion, value);
+            return this.learn(kind, out.name, outcome, value);
         }
         catch (error) {
-            if (!(error instanceof PlatformError)) {
-                throw error;
+            if (error instanceof PlatformError) {
+                return undefined;
             }
+            throw error;
         }
     }
 
-    private async currentVersion(kind: ObjectKind, name: string): Promise<number> {
+    private async current(kind: ObjectKind, name: string): Promise<StoredObject | undefined> {
         const until = this.tryUntil();
         while (true) {
             try {
-                const stored = await this.parts.platform.read(kind, name);
-                return stored?.version ?? absentVersion;
+                return await this.parts.platform.read(kind, name);
             }
             catch (error) {
                 await this.pauseOrThrow(error, until, "the platform can't be read; nothing was changed");
--- a/src/core/restrictions.ts
+++ b/src/core/restrictions.ts
@@ -1,17 +1,25 @@
 /** Who must not get new work: what operators took out, and what leaves by itself. */
-import { ChangeSignal, Configuration, InstanceRecord, InstanceState, ObjectKind, ProvisionalOut } from "../internal.js";
+import {
+    ChangeSignal,
+    Configuration,
+    InstanceRecord,
+    InstanceState,
+    ObjectKind,
+    ProvisionalOut,
+    Serving,
+} from "../internal.js";
 
-const keyOf = (out: ProvisionalOut): string => `${out.kind}/${out.name}`;
-
-const objectKindOf = (out: ProvisionalOut): ObjectKind.DataCentre | ObjectKind.Instance =>
-    out.kind === "dataCentre" ? ObjectKind.DataCentre : ObjectKind.Instance;
+/** Kind of the object that holds the state of a data centre or an instance. */
+export const servingKindOf = (kind: ProvisionalOut["kind"]): ObjectKind.DataCentre | ObjectKind.Instance =>
+    kind === "dataCentre" ? ObjectKind.DataCentre : ObjectKind.Instance;
 
 /**
  * Joins the configuration's outs with provisional ones that spread from peer to peer.
  *
  * Operators take a data centre out because it is about to fail, often in the same incident that took the platform
  * down. They would notice crews still being sent there. A provisional out holds at once and everywhere the peers
- * reach, until the stored object moves past the version it was given against.
+ * reach, until it is stored or lifted by name. A higher version alone must not end it: an older order to bring the data
+ * centre in, written while the platform was slow, can take effect after the out was given.
  */
 export class Restrictions {
     /** Notified when a provisional out is new. */
@@ -28,24 +36,17 @@
     }
 
     isOut(kind: ProvisionalOut["kind"], name: string): boolean {
-        const objectKind = kind === "dataCentre" ? ObjectKind.DataCentre : ObjectKind.Instance;
-        if (this.configuration.isOut(objectKind, name)) {
-            return true;
-        }
-        const out = this.provisional.get(`${kind}/${name}`);
-        return out !== undefined && !this.superseded(out);
+        return this.configuration.isOut(servingKindOf(kind), name) || this.pendingOf(kind, name).length > 0;
     }
 
     /** Takes outs from an operator or a peer; returns whether any was new. */
     add(outs: readonly ProvisionalOut[]): boolean {
         let added = false;
         for (const out of outs) {
-            const held = this.provisional.get(keyOf(out));
-            if (this.superseded(out) || (held && held.againstVersion >= out.againstVersion)) {
-                continue;
+            if (!this.settled(out) && !this.provisional.has(out.outId)) {
+                this.provisional.set(out.outId, out);
+                added = true;
             }
-            this.provisional.set(keyOf(out), out);
-            added = true;
         }
         if (added) {
             this.changed.notify();
@@ -55,15 +56,24 @@
 
     /** The outs that still wait to be written to the platform. */
     pending(): ProvisionalOut[] {
-        for (const [key, out] of this.provisional) {
-            if (this.superseded(out)) {
-                this.provisional.delete(key);
+        for (const [outId, out] of this.provisional) {
+            if (this.settled(out)) {
+                this.provisional.delete(outId);
             }
         }
         return [...this.provisional.values()];
     }
 
-    private superseded(out: ProvisionalOut): boolean {
-        return this.configuration.version(objectKindOf(out), out.name) > out.againstVersion;
+    /** The waiting outs of one data centre or instance. */
+    pendingOf(kind: ProvisionalOut["kind"], name: string): ProvisionalOut[] {
+        if (this.provisional.size === 0) {
+            return [];
+        }
+        return this.pending().filter(out => out.kind === kind && out.name === name);
+    }
+
+    private settled(out: ProvisionalOut): boolean {
+        const serving = this.configuration.object(servingKindOf(out.kind), out.name)?.value as Serving | undefined;
+        return serving?.change === out.outId || (serving?.lifts ?? []).includes(out.outId);
     }
 }
--- a/src/ports/peerPort.ts
+++ b/src/ports/peerPort.ts
@@ -21,8 +21,8 @@
 export interface ProvisionalOut {
     kind: "dataCentre" | "instance";
     name: string;
-    /** Version of the stored object that the order was given against: a later write supersedes it. */
-    againstVersion: number;
+    /** Names this order: it holds until it is stored, or until an order to bring back in lifts it by name. */
+    outId: string;
 }
 
 /** What a peer holds beyond a revision, for one that can't learn it from the platform. */
--- a/src/types/objects.ts
+++ b/src/types/objects.ts
@@ -97,7 +97,12 @@
     weight: z.number().positive().max(1_000).default(1),
 });
 
-const servingStateSchema = z.strictObject({ change, state: z.enum(ServingState) });
+const servingStateSchema = z.strictObject({
+    change,
+    state: z.enum(ServingState),
+    /** Outs that orders to bring back in have lifted, the newest last; set by the entry that writes. */
+    lifts: z.array(z.string()).optional(),
+});
 
 /** A named set of rules that services run under. */
 export type Profile = z.infer<typeof profileSchema>;
