--- a/__tests__/stops.test.ts
+++ b/__tests__/stops.test.ts
@@ -148,8 +148,9 @@
 const lateIn = async (scene: Scene): Promise<void> => {
     const { world, callers, pass, entry } = scene;
     await Promise.all([callers.restrict(entry(0), "out", "dataCentre", "north"), pass(1_000)]);
-    world.platform.faults.slowMilliseconds = 3_000;
     void callers.restrict(entry(0), "in", "dataCentre", "north");
+    // The order has read the object; its write meets the slow platform.
+    world.platform.faults.slowMilliseconds = 3_000;
     await pass(1_500);
     void callers.restrict(entry(1), "out", "dataCentre", "north");
     await steady(scene, 20);
