The oracle leaves out an order out that races an order in

The oracle dated the out only when it was told and so took the in for an earlier one. This is less strict only for orders that overlap in time; the rest stands.

--- a/__tests__/support/callers.ts
+++ b/__tests__/support/callers.ts
@@ -44,6 +44,7 @@
 interface Told {
     kind: ProvisionalOut["kind"];
     name: string;
+    /** When the operator was told that it is out; Infinity before. */
     outAt: number;
     /** When an operator asked for it back in. */
     until: number;
@@ -59,6 +60,8 @@
 export class Callers {
     readonly requests: CallerRequest[] = [];
     private readonly told: Told[] = [];
+    /** Orders in that are being carried out, by what they concern: an out beside one of them promises nothing. */
+    private readonly bringing = new Map<string, number>();
     private readonly accepted: { kind: ObjectKind; name: string; version: number; at: number; }[] = [];
     private readonly highest = new Map<string, number>();
     private readonly violations: string[] = [];
@@ -148,15 +151,24 @@
         kind: ProvisionalOut["kind"],
         name: string,
     ): Promise<string> {
+        const key = `${kind}/${name}`;
         if (direction === "in") {
             this.endOuts(kind, name);
+            this.bringing.set(key, (this.bringing.get(key) ?? 0) + 1);
             const outcome = await entry.node.operations.bringIn(kind, name).catch(() => ({ type: "Failed" as const }));
+            this.bringing.set(key, this.bringing.get(key)! - 1);
             return outcome.type;
         }
+        const askedAt = systemClock.now();
+        const out: Told = {
+            kind,
+            name,
+            outAt: Infinity,
+            until: (this.bringing.get(key) ?? 0) > 0 ? askedAt : Infinity,
+        };
+        this.told.push(out);
         const outcome = await entry.node.operations.takeOut(kind, name);
-        if (outcome.type !== "Conflict") {
-            this.told.push({ kind, name, outAt: systemClock.now(), until: Infinity });
-        }
+        out.outAt = systemClock.now();
         return outcome.type;
     }
 
