A home that wakes from a pause gives no leave by an old report

Ruled out: two homes (one table version, one home all along); the lease (it had 0.6 s left). A home now denies until it is fresh again, and counts a permit as cold when the asking entry saw the fall.

--- a/__tests__/coldStart.test.ts
+++ b/__tests__/coldStart.test.ts
@@ -112,3 +112,29 @@
     };
     expect(await play({ shape: { coldConcurrency: 1, startWarm: false } }, replaced)).toEqual([]);
 });
+
+/**
+ * An engine dies and comes back cold while its home is paused. Two other entries ask the home for leave meanwhile; it
+ * wakes with a report from before, in which the engine is warm, and finds both questions in its buffers.
+ */
+const homeWakesWithOldReport = async (scene: Scene): Promise<void> => {
+    const { world, callers, pass, entry } = scene;
+    const home = world.entries.find(each => each.id === entry(0).node.homes.homeOf("engine-1"))!;
+    const others = world.entries.filter(each => each !== home);
+    await pass(100);
+    world.freeze(home);
+    void world.engines[0]!.model.crash();
+    await pass(1_700);
+    for (let index = 0; index < 4; index++) {
+        others.forEach(each => callers.generate(each, { tokens: 100, answerTokens: 60 }));
+        await pass(100);
+    }
+    world.thaw(home);
+    await pass(20_000);
+    expect(callers.requests.every(request => request.end?.type === "Whole")).toBe(true);
+};
+
+test("home wakes with an old report", async () => {
+    const plan = { engines: 1, shape: { coldConcurrency: 1, restartMilliseconds: 200 } };
+    expect(await play(plan, homeWakesWithOldReport)).toEqual([]);
+});
--- a/src/core/coldStart.ts
+++ b/src/core/coldStart.ts
@@ -38,6 +38,8 @@
     self: string;
     endpoint: (id: string) => Endpoint | undefined;
     profileFor: (endpoint: Endpoint) => Profile;
+    /** Whether this process has not just been paused. */
+    fresh: () => boolean;
 }
 
 /**
@@ -57,7 +59,7 @@
     /** Takes a permit as this endpoint's home; undefined when it isn't the home or the endpoint has its fill. */
     takeOwn(endpoint: Endpoint, permitId: string, suspect: boolean): Permit | undefined {
         const permit = this.newPermit(endpoint, this.parts.self, permitId, suspect);
-        return this.grant(endpoint, permitId, suspect) === PermitAnswer.Granted ? permit : undefined;
+        return this.grant(endpoint, this.requestOf(permit)) === PermitAnswer.Granted ? permit : undefined;
     }
 
     /** Asks the endpoint's home for a permit; undefined when it denies or doesn't answer. */
@@ -110,7 +112,7 @@
     /** Answers a peer that asks this entry as home. */
     answer(request: PermitRequest): PermitAnswer {
         const endpoint = this.parts.endpoint(request.endpoint);
-        return endpoint ? this.grant(endpoint, request.permitId, request.suspect) : PermitAnswer.Denied;
+        return endpoint ? this.grant(endpoint, request) : PermitAnswer.Denied;
     }
 
     /** Notes a permit that came back. */
@@ -133,14 +135,15 @@
         return { permitId, endpoint: endpoint.id, suspect, cold, home, sendBefore: now + permitSendMilliseconds };
     }
 
-    private requestOf({ endpoint, permitId, suspect }: Permit): PermitRequest {
-        return { instance: this.parts.self, endpoint, permitId, suspect };
+    private requestOf({ endpoint, permitId, suspect, cold }: Permit): PermitRequest {
+        return { instance: this.parts.self, endpoint, permitId, suspect, cold };
     }
 
-    private grant(endpoint: Endpoint, permitId: string, suspect: boolean): PermitAnswer {
+    /** A home that has just been paused may hold an old report: it denies, and believes whoever saw the fall. */
+    private grant(endpoint: Endpoint, { permitId, suspect, cold }: PermitRequest): PermitAnswer {
         const now = this.parts.clock.now();
         const trust = endpoint.trust(now).type;
-        if (!this.parts.homes.mayAct(endpoint.id) || trust === "Closed") {
+        if (!this.parts.fresh() || !this.parts.homes.mayAct(endpoint.id) || trust === "Closed") {
             return PermitAnswer.Denied;
         }
         const outstanding = this.outstandingOf(endpoint);
@@ -149,7 +152,7 @@
         }
         const slot = this.suspectSlots.get(endpoint.id);
         const taken = suspect && slot !== undefined && slot.expiresAt > now;
-        if (taken || (trust === "Cold" && this.room(endpoint) < 1)) {
+        if (taken || ((cold || trust === "Cold") && this.room(endpoint) < 1)) {
             return PermitAnswer.Denied;
         }
         const expiresAt = now + permitHoldMilliseconds;
--- a/src/core/entryNode.ts
+++ b/src/core/entryNode.ts
@@ -150,6 +150,7 @@
             self: identity.id,
             endpoint: id => table.get(id),
             profileFor: endpoint => this.profileFor(endpoint),
+            fresh: () => this.guard.fresh(),
         });
         this.suspects = new Suspects(clock);
         const allowed = (endpoint: Endpoint) => !this.restrictions.forbids(endpoint.record);
--- a/src/ports/peerPort.ts
+++ b/src/ports/peerPort.ts
@@ -39,6 +39,8 @@
     permitId: string;
     /** Whether the request was present at a crash and must be alone among such requests. */
     suspect: boolean;
+    /** Whether the endpoint is cold as far as the asking entry knows. */
+    cold: boolean;
 }
 
 /** Whether the home allows it. */
