--- a/__tests__/fuzz/commands.ts
+++ b/__tests__/fuzz/commands.ts
@@ -39,6 +39,9 @@
 const pick = <Item>(items: readonly Item[], index: number): Item | undefined =>
     items[index % Math.max(1, items.length)];
 
+/** Time that an isolated entry is awake before its ways are mended. */
+const isolatedAwakeMilliseconds = 2_500;
+
 /** Undoes a fault after a while of fake time. */
 const later = (state: FuzzState, milliseconds: number, undo: () => void): void => {
     const at = now() + milliseconds;
@@ -215,6 +218,27 @@
         }
     });
 
+/** An entry loses all ways to its peers and the platform, stands still, and goes on before they are mended. */
+const isolate = (entryIndex: number, milliseconds: number): FuzzCommand =>
+    new Command(`isolate(${entryIndex}, ${milliseconds})`, state => {
+        const { world } = state.scene;
+        const entry = pick(serving(state).filter(each => !each.gate.frozen), entryIndex);
+        if (!entry || state.platformFailsUntil > now() || state.partedUntil > now()) {
+            return;
+        }
+        const whole = milliseconds + isolatedAwakeMilliseconds;
+        state.partedUntil = now() + whole + 2_000;
+        const others = world.entries.filter(each => each !== entry).map(each => each.id);
+        const cut = (apart: boolean): void => {
+            entry.platformCut = apart;
+            others.forEach(other => world.part(entry.id, other, apart));
+        };
+        cut(true);
+        world.freeze(entry);
+        later(state, milliseconds, () => entry.alive && world.thaw(entry));
+        later(state, whole, () => cut(false));
+    });
+
 const restrict = (entryIndex: number, direction: "out" | "in", dataCentre: string): FuzzCommand =>
     new Command(`restrict(${entryIndex}, ${direction}, ${dataCentre})`, state => {
         const entry = pick(serving(state).filter(each => !each.gate.frozen), entryIndex);
@@ -279,6 +303,7 @@
         fc.tuple(index, fc.nat({ max: 1 })).map(([entry, variant]) => poison(entry, variant)),
         index.map(kill),
         fc.tuple(index, fc.integer({ min: 5, max: 100 })).map(([entry, tenths]) => freeze(entry, tenths * 100)),
+        fc.tuple(index, fc.integer({ min: 40, max: 90 })).map(([entry, tenths]) => isolate(entry, tenths * 100)),
         index.map(stop),
         fc.tuple(engineIndex, fc.constantFrom(...engineFaults)).map(([engine, fault]) => engineFault(engine, fault)),
         fc.tuple(engineIndex, fc.constantFrom(...engineFaults)).map(([engine, fault]) => engineFault(engine, fault)),
--- a/__tests__/fuzz/seeds.test.ts
+++ b/__tests__/fuzz/seeds.test.ts
@@ -5,8 +5,13 @@
 const firstSeed = Number(process.env.FUZZ_FIRST ?? 1);
 const seeds = Number(process.env.FUZZ_SEEDS ?? 6);
 const runsPerSeed = 5;
+/** Seeds that once failed: 231 for a late order in, 315 for a home that woke with an old report. */
+const failedSeeds = [231, 300, 315, 409, 413, 507, 517, 524];
 
-for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
+const chosen = Array.from({ length: seeds }, (...[, index]) => firstSeed + index);
+const regressions = firstSeed === 1 ? failedSeeds : [];
+
+for (const seed of [...chosen, ...regressions]) {
     test(
         `seed ${seed}`,
         () => fuzz({ seed, runs: runsPerSeed, shrink: process.env.FUZZ_SHRINK !== undefined }),
--- a/__tests__/support/callers.ts
+++ b/__tests__/support/callers.ts
@@ -11,7 +11,7 @@
     RequestFailure,
     systemClock,
 } from "../../src/internal.js";
-import { crashMark, expectedAnswer } from "../../src/standins/answer.js";
+import { crashMark, expectedAnswer, isCrashing } from "../../src/standins/answer.js";
 import { FakeEntry, World } from "./world.js";
 
 /** How a caller's request ended. */
@@ -55,10 +55,13 @@
 const outHoldsAfterMilliseconds = 3_000;
 const deadlineSlackMilliseconds = 300;
 const inForceMilliseconds = 19_000;
+const poisonStartsAtMost = 8;
 
 /** Sends requests into a world and keeps what came of them. */
 export class Callers {
     readonly requests: CallerRequest[] = [];
+    /** Requests that carry a prompt which crashes engines, by prompt. */
+    private readonly poisoned = new Map<string, string[]>();
     private readonly told: Told[] = [];
     /** Orders in that are being carried out, by what they concern: an out beside one of them promises nothing. */
     private readonly bringing = new Map<string, number>();
@@ -84,6 +87,9 @@
         const service = node.configuration.service("standin")!;
         const profile = node.configuration.profileOf(service);
         const request = this.begin(entry, timeout, undefined, expectedAnswer(prompt, answerTokens));
+        if (isCrashing(prompt)) {
+            this.poisoned.set(prompt, [...this.poisoned.get(prompt) ?? [], request.requestId]);
+        }
         const promptTokens = Math.ceil(prompt.length / charactersPerToken);
         void this.follow(request, () =>
             node.generations.run({
@@ -223,7 +229,7 @@
                 found.push(`${engine.record.id} still holds ${memoryUsedTokens} tokens`);
             }
         }
-        return [...found, ...this.lateStarts()];
+        return [...found, ...this.lateStarts(), ...this.poisonStarts()];
     }
 
     private deadline(entry: FakeEntry, timeout: number): Deadline {
@@ -336,6 +342,19 @@
         return found;
     }
 
+    /** Copies that were under way together, and strikes that died with their entry, explain a few starts and no more. */
+    private poisonStarts(): string[] {
+        const found: string[] = [];
+        const starts = this.world.engines.flatMap(engine => engine.starts);
+        for (const [prompt, requestIds] of this.poisoned) {
+            const count = starts.filter(start => requestIds.includes(start.requestId)).length;
+            if (count > poisonStartsAtMost) {
+                found.push(`"${prompt.slice(0, 24).trim()}" was started ${count} times`);
+            }
+        }
+        return found;
+    }
+
     private note(holds: boolean, violation: string): void {
         if (!holds && !this.violations.includes(violation)) {
             this.violations.push(violation);
