--- /dev/null
+++ b/__performance_tests__/bench.js
@@ -0,0 +1,13 @@
+// npm run bench -- [NAME ...]: remakes the figures in docs/measurements. Without names, all of them.
+import { measureOwnPath } from "./ownPath.js";
+import { measureShortBesideLong } from "./shortBesideLong.js";
+import { measureSlopes } from "./slopes.js";
+
+const measurements = { ownPath: measureOwnPath, slopes: measureSlopes, shortBesideLong: measureShortBesideLong };
+
+const names = process.argv.slice(2);
+for (const [name, measure] of Object.entries(measurements)) {
+    if (names.length === 0 || names.includes(name)) {
+        await measure();
+    }
+}
--- /dev/null
+++ b/__performance_tests__/slopes.js
@@ -0,0 +1,105 @@
+// Cost of control for one idle entry as the fleet grows: processor time, memory, platform calls. For docs/CAPACITY.md.
+import { platformControl, setFault, sleep } from "../scripts/fleet.js";
+import { defaultEngineShape, seededRandom, startEngine, systemClock } from "../scripts/loadLibrary.js";
+import { keep, makeFleet, table, usageOf } from "./shared.js";
+
+const seconds = 10;
+const platform = "127.0.0.1:9000";
+
+const announceEngines = async count => {
+    const engines = [];
+    for (let index = 0; index < count; index++) {
+        const id = `farm-${index}`;
+        const engine = await startEngine(
+            id,
+            "127.0.0.1:0",
+            { ...defaultEngineShape, startWarm: true },
+            systemClock,
+            seededRandom(index),
+        );
+        engines.push(engine);
+        const record = {
+            id,
+            role: "engine",
+            dataCentre: ["north", "east", "south"][index % 3],
+            address: engine.listener.address,
+            incarnation: engine.model.incarnation,
+            state: "live",
+            service: "standin",
+        };
+        await fetch(`http://${platform}/instances/${id}`, { method: "PUT", body: JSON.stringify(record) });
+    }
+    return engines;
+};
+
+const profiles = count =>
+    Array.from(
+        { length: count },
+        (_, index) => ({ kind: "profile", name: `filler-${index}`, value: { shortPromptTokens: 1_000 + index } }),
+    );
+
+const callsOf = async () => {
+    const counts = await (await fetch(`http://${platformControl}/counts`)).json();
+    return counts.reads + counts.writes + counts.watches;
+};
+
+const measure = async ({ entries, endpoints, objects }) => {
+    const fleet = makeFleet({ engines: 0, services: 0, entries }, found => [...found, ...profiles(objects)]);
+    fleet.startAll();
+    let engines = [];
+    try {
+        await sleep(2_000);
+        await setFault(platformControl, "rate", 100_000);
+        engines = await announceEngines(endpoints);
+        await sleep(8_000);
+        const pid = fleet.children.get("entry-1").pid;
+        const before = usageOf(pid);
+        const callsBefore = await callsOf();
+        await sleep(seconds * 1_000);
+        const after = usageOf(pid);
+        const calls = (await callsOf() - callsBefore) / seconds / entries;
+        return {
+            entries,
+            endpoints,
+            objects,
+            corePercent: (after.milliseconds - before.milliseconds) / seconds / 10,
+            megabytes: after.megabytes,
+            platformCallsPerSecond: calls,
+        };
+    }
+    finally {
+        await Promise.all(engines.map(engine => engine.close()));
+        await fleet.stopAll();
+    }
+};
+
+const plans = [
+    { entries: 3, endpoints: 20, objects: 20 },
+    { entries: 6, endpoints: 20, objects: 20 },
+    { entries: 12, endpoints: 20, objects: 20 },
+    { entries: 24, endpoints: 20, objects: 20 },
+    { entries: 48, endpoints: 20, objects: 20 },
+    { entries: 3, endpoints: 100, objects: 20 },
+    { entries: 3, endpoints: 400, objects: 20 },
+    { entries: 3, endpoints: 20, objects: 400 },
+    { entries: 3, endpoints: 20, objects: 4_000 },
+];
+
+export const measureSlopes = async () => {
+    const found = [];
+    for (const plan of plans) {
+        found.push(await measure(plan));
+    }
+    const rows = found.map(each => [
+        each.entries,
+        each.endpoints,
+        each.objects,
+        each.corePercent.toFixed(2),
+        each.megabytes.toFixed(0),
+        each.platformCallsPerSecond.toFixed(2),
+    ]);
+    const text =
+        `# Cost of control\n\nOne idle entry over ${seconds} s, one run each; memory is the whole resident process, Node included.\n\n`
+        + table(["entries", "endpoints", "objects", "% of a core", "MB resident", "platform calls/s an entry"], rows);
+    keep("slopes", found, text);
+};
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
     { ignores: ["dist/", "node_modules/"] },
     ...tseslint.configs.recommended,
     {
-        files: ["src/**/*.ts", "__tests__/**/*.ts", "__performance_tests__/**/*.ts"],
+        files: ["src/**/*.ts", "__tests__/**/*.ts"],
         languageOptions: { parserOptions: { project: "./tsconfig.json" } },
         rules: {
             "@typescript-eslint/no-floating-promises": "error",
--- a/scripts/fleet.js
+++ b/scripts/fleet.js
@@ -4,7 +4,7 @@
 import { fileURLToPath } from "node:url";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
-const folder = `${root}/examples/local`;
+const localFolder = `${root}/examples/local`;
 const logs = `${root}/.local`;
 
 const programOf = name => {
@@ -18,7 +18,7 @@
 };
 
 /** Names of all programs of the fleet: platform first, entries last. */
-export const fleetNames = () => {
+const fleetNames = folder => {
     const rank = name => name === "platform" ? 0 : name.startsWith("entry-") ? 2 : 1;
     const names = readdirSync(folder).map(file => file.replace(/\.ini$/, ""));
     return names.sort((first, second) => rank(first) - rank(second) || (first < second ? -1 : 1));
@@ -36,11 +36,15 @@
     children = new Map();
     exits = new Map();
 
+    constructor(folder = localFolder) {
+        this.folder = folder;
+    }
+
     start(name) {
         mkdirSync(logs, { recursive: true });
         const [program, ...rest] = programOf(name);
         const log = openSync(`${logs}/${name}.log`, "a");
-        const commandLine = [`${root}/bin/${program}`, ...rest, "--settings", `${folder}/${name}.ini`];
+        const commandLine = [`${root}/bin/${program}`, ...rest, "--settings", `${this.folder}/${name}.ini`];
         const child = spawn(process.execPath, commandLine, { stdio: ["ignore", log, log] });
         this.children.set(name, child);
         this.exits.set(
@@ -58,7 +62,7 @@
     }
 
     startAll() {
-        for (const name of fleetNames()) {
+        for (const name of fleetNames(this.folder)) {
             this.start(name);
         }
     }
@@ -86,11 +90,12 @@
 };
 
 /** Waits until every entry is ready and has a report of every endpoint. */
-export const untilReady = async entries => {
+export const untilReady = async (entries, endpoints = 23) => {
     while (true) {
         const ready = await Promise.all(entries.map(async index => {
             const status = await getJson(operatorsOf(index), "/status").catch(() => undefined);
-            return status?.accepting && status.endpoints.length === 23 && status.peers.every(peer => peer.answers);
+            return status?.accepting && status.endpoints.length === endpoints
+                && status.peers.every(peer => peer.answers);
         }));
         if (ready.every(value => value)) {
             return;
