--- a/__performance_tests__/slopes.js
+++ b/__performance_tests__/slopes.js
@@ -1,4 +1,5 @@
 // Cost of control for one idle entry as the fleet grows: processor time, memory, platform calls. For docs/CAPACITY.md.
+import { readFileSync } from "node:fs";
 import { platformControl, setFault, sleep } from "../scripts/fleet.js";
 import { defaultEngineShape, seededRandom, startEngine, systemClock } from "../scripts/loadLibrary.js";
 import { keep, makeFleet, table, usageOf } from "./shared.js";
@@ -38,6 +39,9 @@
         (_, index) => ({ kind: "profile", name: `filler-${index}`, value: { shortPromptTokens: 1_000 + index } }),
     );
 
+// Bytes over the loopback interface, headers included: idle, all of it is control.
+const loopbackBytes = () => Number(/lo:\s*(\d+)/.exec(readFileSync("/proc/net/dev", "utf8"))[1]);
+
 const callsOf = async () => {
     const counts = await (await fetch(`http://${platformControl}/counts`)).json();
     return counts.reads + counts.writes + counts.watches;
@@ -55,8 +59,10 @@
         const pid = fleet.children.get("entry-1").pid;
         const before = usageOf(pid);
         const callsBefore = await callsOf();
+        const bytesBefore = loopbackBytes();
         await sleep(seconds * 1_000);
         const after = usageOf(pid);
+        const kilobytes = (loopbackBytes() - bytesBefore) / seconds / entries / 1_000;
         const calls = (await callsOf() - callsBefore) / seconds / entries;
         return {
             entries,
@@ -65,6 +71,7 @@
             corePercent: (after.milliseconds - before.milliseconds) / seconds / 10,
             megabytes: after.megabytes,
             platformCallsPerSecond: calls,
+            kilobytesPerSecond: kilobytes,
         };
     }
     finally {
@@ -97,9 +104,18 @@
         each.corePercent.toFixed(2),
         each.megabytes.toFixed(0),
         each.platformCallsPerSecond.toFixed(2),
+        each.kilobytesPerSecond.toFixed(1),
     ]);
     const text =
         `# Cost of control\n\nOne idle entry over ${seconds} s, one run each; memory is the whole resident process, Node included.\n\n`
-        + table(["entries", "endpoints", "objects", "% of a core", "MB resident", "platform calls/s an entry"], rows);
+        + table([
+            "entries",
+            "endpoints",
+            "objects",
+            "% of a core",
+            "MB resident",
+            "platform calls/s an entry",
+            "kB/s an entry",
+        ], rows);
     keep("slopes", found, text);
 };
--- a/src/adapters/callers/openaiShapes.ts
+++ b/src/adapters/callers/openaiShapes.ts
@@ -96,11 +96,13 @@
 const identifier = (head: AnswerHead): string =>
     `${head.shape === GenerationShape.Chat ? "chatcmpl" : "cmpl"}-${head.requestId}`;
 
-const noValue = JSON.parse("null") as unknown;
+// The OpenAI shape has null here until the answer ends.
+// eslint-disable-next-line no-restricted-syntax
+const notFinished = null;
 
 /** One streamed chunk; without `finishReason` it carries text. */
 export const streamChunk = (head: AnswerHead, text: string, finishReason: FinishReason | undefined): object => {
-    const finish = finishReason ?? noValue;
+    const finish = finishReason ?? notFinished;
     const chat = head.shape === GenerationShape.Chat;
     const delta = finishReason === undefined ? { role: "assistant", content: text } : {};
     return {
--- a/src/core/entryNode.ts
+++ b/src/core/entryNode.ts
@@ -94,138 +94,31 @@
     /** Requests of callers that are being served. */
     activeRequests = 0;
     private state = InstanceState.Live;
+    private readonly self: { instance: string; incarnation: string; };
+    private readonly retries: RetryBudget;
     private readonly stopping = sharedAbort();
     private readonly log: PartLog;
 
     constructor(readonly identity: EntryIdentity, readonly ports: EntryPorts) {
-        const { clock, random, platform, engines, services, peers, timeline } = ports;
         this.log = ports.log("entry");
-        this.incarnation = randomIdentifier(random);
-        const self = { instance: identity.id, incarnation: this.incarnation };
-        const configurationLog = ports.log("configuration");
-        this.configuration = new Configuration((object, reason) =>
-            configurationLog.error("A stored object is invalid and not in force.", { name: object.name, reason })
-        );
+        this.incarnation = randomIdentifier(ports.random);
+        this.self = { instance: identity.id, incarnation: this.incarnation };
+        this.health = new PlatformHealth(ports.clock);
+        this.guard = new PauseGuard({ ...ports, log: this.log, refresh: () => this.refresh() });
+        this.configuration = this.newConfiguration();
         this.restrictions = new Restrictions(this.configuration);
-        this.health = new PlatformHealth(clock);
-        this.membership = new Membership({
-            clock,
-            platform,
-            health: this.health,
-            peers,
-            log: ports.log("membership"),
-            self: () => this.record(),
-            ownHeartbeat: () => this.heartbeat(),
-            heard: (address, heartbeat) => this.heard(address, heartbeat),
-            seeds: identity.seeds,
-        });
-        this.table = new EndpointTable({
-            clock,
-            restrictions: this.restrictions,
-            report: record => this.report(record),
-            log: ports.log("endpoints"),
-            timeline,
-        });
-        const membership = this.membership;
-        const table = this.table;
-        const health = this.health;
-        const serving = () => this.ready && this.state === InstanceState.Live;
-        this.homes = new Homes({
-            clock,
-            random,
-            platform,
-            health,
-            membership,
-            log: ports.log("homes"),
-            timeline,
-            self,
-            serving,
-        });
-        const homes = this.homes;
-        this.coldStart = new ColdStart({
-            clock,
-            homes,
-            membership,
-            peers,
-            self: identity.id,
-            endpoint: id => table.get(id),
-            profileFor: endpoint => this.profileFor(endpoint),
-            fresh: () => this.guard.fresh(),
-        });
-        this.suspects = new Suspects(clock);
-        const allowed = (endpoint: Endpoint) => !this.restrictions.forbids(endpoint.record);
-        const suspects = this.suspects;
-        const coldStart = this.coldStart;
-        this.guard = new PauseGuard({ clock, log: this.log, timeline, refresh: () => this.refresh() });
-        const guard = this.guard;
-        this.placer = new Placer({
-            clock,
-            random,
-            table,
-            coldStart,
-            suspects,
-            router: new Router(random),
-            allowed,
-            guard,
-        });
-        const placer = this.placer;
-        this.holdings = new Holdings({
-            clock,
-            random,
-            engines,
-            peers,
-            membership,
-            table,
-            log: ports.log("holdings"),
-            timeline,
-            self,
-        });
-        const holdings = this.holdings;
-        const retries = new RetryBudget(clock);
-        this.generations = new Generations({
-            clock,
-            engines,
-            placer,
-            gangs: new Gangs({ clock, random, table, engines, holdings, allowed, guard, self }),
-            holdings,
-            table,
-            suspects,
-            retries,
-            log: ports.log("generation"),
-            timeline,
-            self,
-        });
-        this.claims = new Claims({
-            clock,
-            random,
-            platform,
-            peers,
-            health,
-            membership,
-            log: ports.log("claims"),
-            timeline,
-            self,
-        });
-        this.serviceCalls = new ServiceCalls({
-            clock,
-            services,
-            placer,
-            claims: this.claims,
-            retries,
-            table,
-            timeline,
-        });
-        this.operations = new Operations({
-            clock,
-            random,
-            platform,
-            health,
-            configuration: this.configuration,
-            restrictions: this.restrictions,
-            membership,
-            log: ports.log("operations"),
-            timeline,
-        });
+        this.membership = this.newMembership();
+        this.table = this.newTable();
+        this.homes = this.newHomes();
+        this.coldStart = this.newColdStart();
+        this.suspects = new Suspects(ports.clock);
+        this.placer = this.newPlacer();
+        this.holdings = this.newHoldings();
+        this.retries = new RetryBudget(ports.clock);
+        this.generations = this.newGenerations();
+        this.claims = this.newClaims();
+        this.serviceCalls = this.newServiceCalls();
+        this.operations = this.newOperations();
     }
 
     /** Whether this entry knows a whole configuration and an instance list. */
@@ -340,6 +233,88 @@
         return this.ports.clock.now();
     }
 
+    private newConfiguration(): Configuration {
+        const log = this.ports.log("configuration");
+        return new Configuration((object, reason) =>
+            log.error("A stored object is invalid and not in force.", { name: object.name, reason })
+        );
+    }
+
+    private newMembership(): Membership {
+        return new Membership({
+            ...this.ports,
+            health: this.health,
+            log: this.ports.log("membership"),
+            self: () => this.record(),
+            ownHeartbeat: () => this.heartbeat(),
+            heard: (address, heartbeat) => this.heard(address, heartbeat),
+            seeds: this.identity.seeds,
+        });
+    }
+
+    private newTable(): EndpointTable {
+        return new EndpointTable({
+            ...this.ports,
+            restrictions: this.restrictions,
+            report: record => this.report(record),
+            log: this.ports.log("endpoints"),
+        });
+    }
+
+    private newHomes(): Homes {
+        const { health, membership, self } = this;
+        const serving = () => this.accepting;
+        return new Homes({ ...this.ports, health, membership, self, serving, log: this.ports.log("homes") });
+    }
+
+    private newColdStart(): ColdStart {
+        return new ColdStart({
+            ...this.ports,
+            homes: this.homes,
+            membership: this.membership,
+            self: this.identity.id,
+            endpoint: id => this.table.get(id),
+            profileFor: endpoint => this.profileFor(endpoint),
+            fresh: () => this.guard.fresh(),
+        });
+    }
+
+    private newPlacer(): Placer {
+        const { table, coldStart, suspects, guard } = this;
+        const router = new Router(this.ports.random);
+        return new Placer({ ...this.ports, table, coldStart, suspects, guard, router, allowed: this.allowed });
+    }
+
+    private newHoldings(): Holdings {
+        const { membership, table, self } = this;
+        return new Holdings({ ...this.ports, membership, table, self, log: this.ports.log("holdings") });
+    }
+
+    private newGenerations(): Generations {
+        const { placer, holdings, table, suspects, retries, guard, self } = this;
+        const gangs = new Gangs({ ...this.ports, table, holdings, guard, self, allowed: this.allowed });
+        const log = this.ports.log("generation");
+        return new Generations({ ...this.ports, placer, gangs, holdings, table, suspects, retries, self, log });
+    }
+
+    private newClaims(): Claims {
+        const { health, membership, self } = this;
+        return new Claims({ ...this.ports, health, membership, self, log: this.ports.log("claims") });
+    }
+
+    private newServiceCalls(): ServiceCalls {
+        const { placer, claims, retries, table } = this;
+        return new ServiceCalls({ ...this.ports, placer, claims, retries, table });
+    }
+
+    private newOperations(): Operations {
+        const { health, configuration, restrictions, membership } = this;
+        const log = this.ports.log("operations");
+        return new Operations({ ...this.ports, health, configuration, restrictions, membership, log });
+    }
+
+    private readonly allowed = (endpoint: Endpoint): boolean => !this.restrictions.forbids(endpoint.record);
+
     /** Learns what peers and platform know now; false while none of them answers. */
     private async refresh(): Promise<boolean> {
         const listed = listConfiguration(this.readerParts()).then(() => true, () => false);
--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -82,6 +82,17 @@
     /** The engine or its answer was lost on the way. */
     | { type: "Lost"; reason: string; };
 
+/** A connection to a running stream, or why there is none. */
+type Connection =
+    | { type: "Open"; frames: AsyncIterable<EngineFrame>; }
+    | Exclude<AttemptOutcome, { type: "Finished"; }>;
+
+/** How reading one connection ended. */
+type Reading =
+    | { type: "Finished"; }
+    | { type: "Silent"; reason: string; }
+    | { type: "Cut"; reason: string; };
+
 /** State of one request over its attempts. */
 interface Progress {
     attempt: number;
@@ -445,13 +456,3 @@
         }
     }
 }
-
-type Connection =
-    | { type: "Open"; frames: AsyncIterable<EngineFrame>; }
-    | Exclude<AttemptOutcome, { type: "Finished"; }>;
-
-/** How reading one connection ended. */
-type Reading =
-    | { type: "Finished"; }
-    | { type: "Silent"; reason: string; }
-    | { type: "Cut"; reason: string; };
