--- a/src/standins/engineServer.ts
+++ b/src/standins/engineServer.ts
@@ -42,6 +42,7 @@
 
     constructor(readonly model: EngineModel, private readonly clock: Clock, name: string) {
         this.timeline = new Timeline(name, clock);
+        this.timeline.record("engine", "started");
     }
 
     async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/standins/platformServer.ts
+++ b/src/standins/platformServer.ts
@@ -46,10 +46,11 @@
 ): Promise<PlatformStandIn> => {
     const model = new PlatformModel(clock);
     const timeline = new Timeline("platform", clock);
+    timeline.record("platform", "started");
     for (const { kind, name, value } of objects) {
         model.write(kind, name, absentVersion, value);
     }
-    const listener = await listen(address, (request, response) => serve(model, clock, request, response));
+    const listener = await listen(address, (request, response) => serve(model, timeline, clock, request, response));
     return {
         model,
         listener,
@@ -62,6 +63,7 @@
 
 const serve = async (
     model: PlatformModel,
+    timeline: Timeline,
     clock: Clock,
     request: IncomingMessage,
     response: ServerResponse,
@@ -78,11 +80,12 @@
         sendJson(response, 429, { error: "over the rate" });
         return;
     }
-    await route(model, request, response, body);
+    await route(model, timeline, request, response, body);
 };
 
 const route = async (
     model: PlatformModel,
+    timeline: Timeline,
     request: IncomingMessage,
     response: ServerResponse,
     body: string,
@@ -90,6 +93,9 @@
     const { method, path, query } = requestTarget(request);
     const object = objectPath.exec(path);
     if (object) {
+        if (method !== "GET") {
+            timeline.record("platform", method, undefined, path);
+        }
         serveObject(model, method, object[1] as ObjectKind, decodeURIComponent(object[2]!), query, response, body);
         return;
     }
--- a/src/standins/serviceServer.ts
+++ b/src/standins/serviceServer.ts
@@ -58,6 +58,7 @@
 ): Promise<ServiceStandIn> => {
     const model = new ServiceModel(shape, clock, random, runs);
     const timeline = new Timeline(name, clock);
+    timeline.record("service", "started");
     const faults: AnswerFaults = { lost: 0, frozen: Promise.resolve() };
     const listener = await RevivableListener.open(
         address,
