Homes go on when the platform has lost their table

Cause: the table was taken only at higher versions, so after a platform came back from an old copy no lease could be confirmed and nothing could be written: no cold endpoint would ever be warmed again. Found by reading. Ruled out: that the outage rule covers it (the platform answers, so there is no outage). Now any other table is taken, and a home by it waits out the hand-over time; the first table no longer skips that wait, since a lost one looks like the first. Before: the scene 'home table lost by the platform' fails; after: coldStart 7 of 7.

--- a/__tests__/coldStart.test.ts
+++ b/__tests__/coldStart.test.ts
@@ -138,3 +138,24 @@
     const plan = { engines: 1, shape: { coldConcurrency: 1, restartMilliseconds: 200 } };
     expect(await play(plan, homeWakesWithOldReport)).toEqual([]);
 });
+
+/**
+ * The platform is restored from a copy that is older than the home table. If its entries went on waiting for the table
+ * they knew, no endpoint would ever be warmed again.
+ */
+const tableLost = async (scene: Scene): Promise<void> => {
+    const { world, pass } = scene;
+    world.platform.revertTo(5);
+    await pass(1_000);
+    world.engines.forEach(engine => void engine.model.crash());
+    await pass(12_000);
+    for (let round = 0; round < 20; round++) {
+        burst(scene, 3);
+        await pass(500);
+    }
+    expect(world.engines.every(engine => !engine.model.isCold)).toBe(true);
+};
+
+test("home table lost by the platform", async () => {
+    expect(await play({ shape: { coldConcurrency: 1 } }, tableLost)).toEqual([]);
+});
--- a/src/core/homes.ts
+++ b/src/core/homes.ts
@@ -201,8 +201,17 @@
         }
     }
 
+    /**
+     * Takes a table that differs from the one held, also an older one: a platform restored from an old copy has lost
+     * ours, and nobody would be home of anything again. Whatever table comes, a home by it waits out the hand-over
+     * time, in which every lease on another table ends.
+     */
     private take(stored: StoredObject | undefined): void {
-        if (!stored || stored.version <= this.tableVersion) {
+        if ((stored?.version ?? absentVersion) === this.tableVersion) {
+            return;
+        }
+        if (!stored) {
+            this.tables = [];
             return;
         }
         const { members, previous } = stored.value as HomesTable;
@@ -210,8 +219,7 @@
         this.tables.push({
             version: stored.version,
             names: members.map(nameOf),
-            // Before the first table there was no home to wait for.
-            seenAt: previous === absentVersion ? -Infinity : now,
+            seenAt: now,
             continuous: previous === this.tableVersion,
         });
         while (this.tables.length > 1 && this.tables[1]!.seenAt < now - handOverMilliseconds) {
