--- a/src/core/coldStart.ts
+++ b/src/core/coldStart.ts
@@ -1,4 +1,4 @@
-/** Permits of an endpoint's home: for load in cold start, raised by evidence, and for suspects, one at a time. */
+/** Permits of an endpoint's home: for a small load in cold start, and for suspects, one at a time. */
 import {
     Clock,
     Endpoint,
