--- a/__performance_tests__/shortBesideLong.js
+++ b/__performance_tests__/shortBesideLong.js
@@ -34,8 +34,7 @@
     const requests = Math.round(rate * seconds);
     const startedAt = systemClock.now();
     const records = await runExperiment(systemClock, {
-        plan: { requests, ratePerSecond: rate, mix, answerTokens, seed },
-        exact: false,
+        plan: { requests, ratePerSecond: rate, mix, exact: false, answerTokens, seed },
         targets: entries.map(callersOf),
         options: { key: "quickstart", model: "standin", answerTokens, timeoutMilliseconds },
         faults: [],
--- a/__tests__/fuzz/commands.ts
+++ b/__tests__/fuzz/commands.ts
@@ -43,7 +43,7 @@
 const isolatedAwakeMilliseconds = 2_500;
 
 /** Undoes a fault after a while of fake time. */
-const later = (state: FuzzState, milliseconds: number, undo: () => void): void => {
+const later = (milliseconds: number, undo: () => void): void => {
     const at = now() + milliseconds;
     void (async () => {
         while (now() < at) {
@@ -51,7 +51,6 @@
         }
         undo();
     })();
-    void state;
 };
 
 const generate = (entryIndex: number, tokens: number, answerTokens: number, timeout: number): FuzzCommand =>
@@ -87,7 +86,7 @@
             return;
         }
         world.kill(entry);
-        later(state, 1_500, () => void world.addEntry(entry.id));
+        later(1_500, () => void world.addEntry(entry.id));
     });
 
 const freeze = (entryIndex: number, milliseconds: number): FuzzCommand =>
@@ -96,7 +95,7 @@
         const entry = pick(serving(state).filter(each => !each.gate.frozen), entryIndex);
         if (entry) {
             world.freeze(entry);
-            later(state, milliseconds, () => entry.alive && world.thaw(entry));
+            later(milliseconds, () => entry.alive && world.thaw(entry));
         }
     });
 
@@ -113,7 +112,7 @@
             record.drained = true;
             entry.stopped = true;
             entry.alive = false;
-            later(state, 1_000, () => void world.addEntry(entry.id));
+            later(1_000, () => void world.addEntry(entry.id));
         });
     });
 
@@ -132,7 +131,7 @@
                 return;
             case "freeze":
                 engine.gate.freeze();
-                later(state, 4_000, () => engine.gate.thaw());
+                later(4_000, () => engine.gate.thaw());
                 return;
             case "loseCancels":
                 engine.lostReleases = 10;
@@ -146,7 +145,7 @@
             case "leave":
                 engine.record.state = InstanceState.Leaving;
                 state.scene.world.platform.announce({ ...engine.record });
-                later(state, 8_000, () => {
+                later(8_000, () => {
                     engine.record.state = InstanceState.Live;
                     state.scene.world.platform.announce({ ...engine.record });
                 });
@@ -163,15 +162,15 @@
                 return;
             case "refuse":
                 service.refusesConnections = true;
-                later(state, 2_000, () => service.refusesConnections = false);
+                later(2_000, () => service.refusesConnections = false);
                 return;
             case "freeze":
                 service.gate.freeze();
-                later(state, 3_000, () => service.gate.thaw());
+                later(3_000, () => service.gate.thaw());
                 return;
             case "die":
                 service.model.die();
-                later(state, 1_500, () => service.model.revive());
+                later(1_500, () => service.model.revive());
                 return;
         }
     });
@@ -186,23 +185,23 @@
         switch (fault) {
             case "down":
                 faults.down = true;
-                later(state, milliseconds, () => faults.down = false);
+                later(milliseconds, () => faults.down = false);
                 return;
             case "slow":
                 faults.slowMilliseconds = 3_000;
-                later(state, milliseconds, () => faults.slowMilliseconds = 0);
+                later(milliseconds, () => faults.slowMilliseconds = 0);
                 return;
             case "loseAnswers":
                 faults.lostAnswers = 0.5;
-                later(state, milliseconds, () => faults.lostAnswers = 0);
+                later(milliseconds, () => faults.lostAnswers = 0);
                 return;
             case "silentWatches":
                 faults.silentWatches = true;
-                later(state, milliseconds, () => faults.silentWatches = false);
+                later(milliseconds, () => faults.silentWatches = false);
                 return;
             case "listLag":
                 faults.listLagMilliseconds = 3_000;
-                later(state, milliseconds, () => faults.listLagMilliseconds = 500);
+                later(milliseconds, () => faults.listLagMilliseconds = 500);
                 return;
         }
     });
@@ -214,7 +213,7 @@
         if (first !== second && state.platformFailsUntil <= now()) {
             state.partedUntil = Math.max(state.partedUntil, now() + milliseconds + 2_000);
             world.part(first.id, second.id, true);
-            later(state, milliseconds, () => world.part(first.id, second.id, false));
+            later(milliseconds, () => world.part(first.id, second.id, false));
         }
     });
 
@@ -235,8 +234,8 @@
         };
         cut(true);
         world.freeze(entry);
-        later(state, milliseconds, () => entry.alive && world.thaw(entry));
-        later(state, whole, () => cut(false));
+        later(milliseconds, () => entry.alive && world.thaw(entry));
+        later(whole, () => cut(false));
     });
 
 const restrict = (entryIndex: number, direction: "out" | "in", dataCentre: string): FuzzCommand =>
--- a/__tests__/support/fleet.ts
+++ b/__tests__/support/fleet.ts
@@ -7,10 +7,10 @@
     InstanceState,
     parseSettings,
     seededRandom,
+    startEntry,
     StoredObject,
     systemClock,
 } from "../../src/internal.js";
-import { startEntry } from "../../src/internal.js";
 import { defaultEngineShape, EngineShape } from "../../src/standins/engineModel.js";
 import { EngineStandIn, startEngine } from "../../src/standins/engineServer.js";
 import { PlatformStandIn, startPlatform } from "../../src/standins/platformServer.js";
--- a/__tests__/timeline.test.ts
+++ b/__tests__/timeline.test.ts
@@ -1,8 +1,7 @@
 /** One time line over processes whose clocks disagree. */
 import { expect, test } from "vitest";
 import { collect, merge, timelineHtml, timelineText } from "../src/commands/timelineMerge.js";
-import { Clock, sendJson, Timeline } from "../src/internal.js";
-import { listen } from "../src/internal.js";
+import { Clock, listen, sendJson, Timeline } from "../src/internal.js";
 
 const clockAt = (wall: { time: number; }): Clock => ({
     now: () => wall.time,
--- a/scripts/checkFaults.js
+++ b/scripts/checkFaults.js
@@ -152,11 +152,12 @@
             promptTokens: 900_000,
             weight: 1,
         }],
+        exact: false,
         answerTokens: 60,
         seed: Number(values.seed),
     };
     const options = { key: "quickstart", model: "standin", answerTokens: 60, timeoutMilliseconds };
-    return runExperiment(systemClock, { plan, exact: false, targets, options, faults: [] });
+    return runExperiment(systemClock, { plan, targets, options, faults: [] });
 };
 
 const wasDisturbed = record =>
--- a/scripts/checkThinPath.js
+++ b/scripts/checkThinPath.js
@@ -12,10 +12,10 @@
     process.stdout.write(`${holds ? "ok  " : "FAIL"} ${name}: ${figure}\n`);
 };
 
-const load = async (targets, plan, exact, timeoutMilliseconds = 120_000) => {
+const load = async (targets, plan, timeoutMilliseconds = 120_000) => {
     const startedAt = systemClock.now();
     const options = { key: "quickstart", model: "standin", answerTokens: plan.answerTokens, timeoutMilliseconds };
-    const records = await runExperiment(systemClock, { plan, exact, targets, options, faults: [] });
+    const records = await runExperiment(systemClock, { plan, targets, options, faults: [] });
     return summarize(records, (systemClock.now() - startedAt) / 1_000, timeoutMilliseconds);
 };
 
@@ -26,21 +26,23 @@
     requests,
     ratePerSecond,
     mix: [{ promptTokens: 1_000, weight: 1 }],
+    exact: false,
     answerTokens,
     seed,
 });
 
 const mixedLoad = async () => {
-    const warming = await load(entries.map(callersOf), shortPlan(300, 60, 32, 1), false);
+    const warming = await load(entries.map(callersOf), shortPlan(300, 60, 32, 1));
     check("300 short requests while all engines are cold", warming.outcomes.whole === 300, describe(warming));
     const plan = {
         requests: 0,
         ratePerSecond: 60,
         mix: [{ promptTokens: 1_000, weight: 1_000 }, { promptTokens: 1_000_000, weight: 20 }],
+        exact: true,
         answerTokens: 32,
         seed: 2,
     };
-    const mixed = await load(entries.map(callersOf), plan, true);
+    const mixed = await load(entries.map(callersOf), plan);
     check("1,000 short and 20 of a million tokens", mixed.outcomes.whole === 1_020, describe(mixed));
     let overloads = 0;
     for (let index = 1; index <= 20; index++) {
@@ -71,8 +73,8 @@
 
 const plannedStop = async () => {
     // The balancer lags: it goes on sending to the stopping entry for a second after SIGTERM.
-    const stopping = load([callersOf(2)], shortPlan(200, 50, 120, 3), false);
-    const others = load([1, 3, 4, 5, 6].map(callersOf), shortPlan(600, 100, 120, 4), false);
+    const stopping = load([callersOf(2)], shortPlan(200, 50, 120, 3));
+    const others = load([1, 3, 4, 5, 6].map(callersOf), shortPlan(600, 100, 120, 4));
     await sleep(3_000);
     fleet.signal("entry-2", "SIGTERM");
     const report = await stopping;
--- a/src/commands/load.ts
+++ b/src/commands/load.ts
@@ -71,10 +71,10 @@
                 requests: flags.requests,
                 ratePerSecond: flags.rate,
                 mix: parseMix(flags.mix),
+                exact: flags.exact,
                 answerTokens: flags["answer-tokens"],
                 seed: flags.seed,
             },
-            exact: flags.exact,
             targets: flags.target,
             options: {
                 key: flags.key,
--- a/src/commands/quickstart.ts
+++ b/src/commands/quickstart.ts
@@ -7,11 +7,11 @@
     InstanceRole,
     InstanceState,
     parseSettings,
+    startEntry,
     StoredObject,
     systemClock,
     systemRandom,
 } from "../internal.js";
-import { startEntry } from "../internal.js";
 import { defaultEngineShape } from "../standins/engineModel.js";
 import { startEngine } from "../standins/engineServer.js";
 import { PlatformStandIn, startPlatform } from "../standins/platformServer.js";
--- a/src/load/arrivals.ts
+++ b/src/load/arrivals.ts
@@ -13,6 +13,8 @@
     /** Mean arrivals a second of the Poisson process; 0 sends everything at once. */
     ratePerSecond: number;
     mix: readonly MixPart[];
+    /** Whether the weights are exact counts; `requests` is not used then. */
+    exact: boolean;
     answerTokens: number;
     seed: number;
 }
@@ -49,21 +51,9 @@
     return mix.at(-1)!.promptTokens;
 };
 
-/** All arrivals of a plan, in order. Prompts are made on demand: a million tokens are four megabytes. */
-export function* planArrivals(plan: ArrivalPlan): Generator<Arrival, void> {
-    const random = seededRandom(plan.seed);
-    let at = 0;
-    for (let index = 0; index < plan.requests; index++) {
-        at += plan.ratePerSecond === 0 ? 0 : -Math.log(1 - random.next()) / plan.ratePerSecond * 1_000;
-        const promptTokens = pick(plan.mix, random);
-        yield { index, at, promptTokens, prompt: promptOf(plan.seed, index, promptTokens, plan.answerTokens) };
-    }
-}
-
-/** A plan that holds exact counts: `counts` of each length, shuffled by the seed. */
-export const exactMix = (counts: readonly MixPart[], seed: number): number[] => {
-    const lengths = counts.flatMap(part => Array.from({ length: part.weight }, () => part.promptTokens));
-    const random = seededRandom(seed);
+/** As many lengths as the mix's weights say, shuffled by the seed. */
+const exactLengths = (mix: readonly MixPart[], random: Random): number[] => {
+    const lengths = mix.flatMap(part => Array.from({ length: part.weight }, () => part.promptTokens));
     for (let index = lengths.length - 1; index > 0; index--) {
         const other = Math.floor(random.next() * (index + 1));
         [lengths[index], lengths[other]] = [lengths[other]!, lengths[index]!];
@@ -71,11 +61,18 @@
     return lengths;
 };
 
-/** Arrivals with exact counts of each length. */
-export function* planExact(plan: ArrivalPlan): Generator<Arrival, void> {
+const lengthsOf = (plan: ArrivalPlan): number[] => {
+    const random = seededRandom(plan.seed + 1);
+    return plan.exact
+        ? exactLengths(plan.mix, random)
+        : Array.from({ length: plan.requests }, () => pick(plan.mix, random));
+};
+
+/** All arrivals of a plan, in order. Prompts are made on demand: a million tokens are four megabytes. */
+export function* planArrivals(plan: ArrivalPlan): Generator<Arrival, void> {
     const random = seededRandom(plan.seed);
     let at = 0;
-    for (const [index, promptTokens] of exactMix(plan.mix, plan.seed).entries()) {
+    for (const [index, promptTokens] of lengthsOf(plan).entries()) {
         at += plan.ratePerSecond === 0 ? 0 : -Math.log(1 - random.next()) / plan.ratePerSecond * 1_000;
         yield { index, at, promptTokens, prompt: promptOf(plan.seed, index, promptTokens, plan.answerTokens) };
     }
--- a/src/load/experiment.ts
+++ b/src/load/experiment.ts
@@ -1,6 +1,6 @@
 /** Runs an experiment: open-loop arrivals over several entries, with faults at given times. */
 import { Clock, exchangeJson, Milliseconds } from "../internal.js";
-import { ArrivalPlan, planArrivals, planExact } from "./arrivals.js";
+import { ArrivalPlan, planArrivals } from "./arrivals.js";
 import { callOnce, CallOptions, CallRecord } from "./caller.js";
 
 /** A fault to be set on a stand-in while the load runs. */
@@ -15,8 +15,6 @@
 /** An experiment. */
 export interface Experiment {
     plan: ArrivalPlan;
-    /** Whether the mix gives exact counts instead of shares. */
-    exact: boolean;
     targets: readonly string[];
     options: CallOptions;
     faults: readonly TimedFault[];
@@ -33,8 +31,7 @@
     const startedAt = clock.now();
     const calls: Promise<CallRecord>[] = [];
     const faults = experiment.faults.map(fault => setFault(clock, fault));
-    const arrivals = experiment.exact ? planExact(experiment.plan) : planArrivals(experiment.plan);
-    for (const arrival of arrivals) {
+    for (const arrival of planArrivals(experiment.plan)) {
         const wait = startedAt + arrival.at - clock.now();
         if (wait > 0) {
             await clock.sleep(wait);
