--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -30,19 +30,31 @@
     },
 };
 
-const expectation = (issue: z.core.$ZodIssue): string => {
+/** Names that may stand in a part of a schema: sections, or the keys of a section. */
+const knownNames = (schema: z.ZodType): string[] => {
+    if (schema instanceof z.ZodDefault || schema instanceof z.ZodPrefault) {
+        return knownNames(schema.unwrap() as z.ZodType);
+    }
+    return schema instanceof z.ZodObject ? Object.keys(schema.shape) : [];
+};
+
+const sectionOf = (schema: z.ZodType, section: string | undefined): z.ZodType =>
+    section !== undefined && schema instanceof z.ZodObject ? schema.shape[section] as z.ZodType : schema;
+
+const expectation = (issue: z.core.$ZodIssue, schema: z.ZodType): string => {
+    const known = knownNames(sectionOf(schema, issue.path[0]?.toString())).join(", ");
     if (issue.code === "unrecognized_keys") {
         const what = issue.path.length === 0 ? "section" : "key";
-        return `unknown ${what} ${issue.keys.join(", ")}`;
+        return `unknown ${what} ${issue.keys.join(", ")}; expected ${known}`;
     }
     // A missing section is reported by its own type; keys carry their expectation as message.
-    return issue.path.length === 1 ? "this section is missing or no section" : issue.message;
+    return issue.path.length === 1 ? `this section is missing or no section; expected ${known}` : issue.message;
 };
 
-const describeIssue = (file: string, issue: z.core.$ZodIssue): string => {
+const describeIssue = (file: string, issue: z.core.$ZodIssue, schema: z.ZodType): string => {
     const [section, key] = issue.path.map(String);
     const place = [section === undefined ? "" : `[${section}]`, key ?? ""].filter(part => part !== "").join(" ");
-    return `${file}: ${place === "" ? "" : `${place}: `}${expectation(issue)}`;
+    return `${file}: ${place === "" ? "" : `${place}: `}${expectation(issue, schema)}`;
 };
 
 /** Checks the text of a settings file against its schema. Throws {@link SettingsError}. */
@@ -53,7 +65,7 @@
 ): z.infer<Schema> => {
     const outcome = schema.safeParse(JSON.parse(JSON.stringify(parse(text))));
     if (!outcome.success) {
-        throw new SettingsError(describeIssue(file, outcome.error.issues[0]!));
+        throw new SettingsError(describeIssue(file, outcome.error.issues[0]!, schema));
     }
     return outcome.data;
 };
