Asking homes and judging a loss end by the request's deadline

Up to three silent homes were asked one after the other at 0.8 s each, and a lost endpoint's report was awaited, both without the request's deadline. Ruled out: the queue (its wait is bounded).

--- a/__tests__/deadlines.test.ts
+++ b/__tests__/deadlines.test.ts
@@ -79,3 +79,24 @@
     };
     expect(await play({}, nobody)).toEqual([]);
 });
+
+/**
+ * An engine dies and comes back cold while both homes that could give leave for it stand still. Questions to them take
+ * 0.8 s each and must not carry a request past its deadline.
+ */
+const silentHomes = async ({ world, callers, pass, entry }: Scene): Promise<void> => {
+    for (const engine of world.engines) {
+        engine.model.goCold();
+    }
+    await pass(1_500);
+    world.freeze(entry(1));
+    world.freeze(entry(2));
+    for (let index = 0; index < 12; index++) {
+        callers.generate(entry(0), { tokens: 100, answerTokens: 100, timeout: 1_000 + index * 50 });
+    }
+    await pass(6_000);
+};
+
+test("silent homes", async () => {
+    expect(await play({ shape: { coldConcurrency: 1, warmAfter: 1_000 } }, silentHomes)).toEqual([]);
+});
--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -411,7 +411,7 @@
     ): Promise<void> {
         const { work } = request;
         if (outcome.type === "Lost") {
-            await this.judgeLoss(work, place);
+            await this.judgeLossInTime(work, place);
         }
         this.checkDeadline(work, progress);
         progress.attempt++;
@@ -431,6 +431,18 @@
         }
     }
 
+    private async judgeLossInTime(work: Work, place: AttemptPlace): Promise<void> {
+        try {
+            const limit = work.deadline.remaining();
+            await within(this.parts.clock, limit, "an endpoint's report", () => this.judgeLoss(work, place));
+        }
+        catch (error) {
+            if (!(error instanceof TimeLimitError)) {
+                throw error;
+            }
+        }
+    }
+
     /** Finds out whether the endpoint died with this request on it. */
     private async judgeLoss(work: Work, place: AttemptPlace): Promise<void> {
         for (const member of place.members) {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -17,7 +17,9 @@
     RequestFailure,
     Router,
     Suspects,
+    TimeLimitError,
     Waiter,
+    within,
     Work,
 } from "../internal.js";
 
@@ -92,7 +94,7 @@
         while (true) {
             this.check(work, first ? queue.predictWait() : 0, startedAt);
             if (!first || !queue.isBlocked(work.lane)) {
-                const placement = this.tryPlace(work, avoid) ?? await this.askHomes(work, avoid);
+                const placement = this.tryPlace(work, avoid) ?? await this.askHomesInTime(work, avoid);
                 if (placement) {
                     queue.served(waiter);
                     queue.drained(work.promptTokens, this.parts.clock.now());
@@ -242,6 +244,20 @@
         return undefined;
     }
 
+    /** Several homes that are silent, asked one after the other, must not carry a request past its deadline. */
+    private async askHomesInTime(work: Work, avoid: ReadonlySet<string>): Promise<Placement | undefined> {
+        const { clock } = this.parts;
+        try {
+            return await within(clock, work.deadline.remaining(), "a permit", () => this.askHomes(work, avoid));
+        }
+        catch (error) {
+            if (error instanceof TimeLimitError) {
+                return undefined;
+            }
+            throw error;
+        }
+    }
+
     private async askHomes(work: Work, avoid: ReadonlySet<string>): Promise<Placement | undefined> {
         if (!this.parts.guard.fresh()) {
             return undefined;
@@ -258,6 +274,11 @@
         for (let index = 0; index < Math.min(homesAskedPerRound, open.length); index++) {
             const endpoint = open[(start + index) % open.length]!;
             const permit = await this.parts.coldStart.ask(endpoint, randomIdentifier(this.parts.random), suspect);
+            if (permit && work.deadline.passed) {
+                // Nobody waits for this place any more.
+                void this.parts.coldStart.giveBack(permit);
+                return undefined;
+            }
             if (permit) {
                 return this.commit(work, endpoint, suspect, permit);
             }
