A woken entry believes only peers that were there before its pause

The entry that took the order was frozen, the platform slow, and the woken entry was told the news by a peer that had started meanwhile and had learned from itself. Now the peer's process must be known from before the pause. Price: an entry whose peers were all replaced during its pause, in an outage, holds its sends until the platform returns.

--- a/src/core/entryNode.ts
+++ b/src/core/entryNode.ts
@@ -104,7 +104,7 @@
         this.incarnation = randomIdentifier(ports.random);
         this.self = { instance: identity.id, incarnation: this.incarnation };
         this.health = new PlatformHealth(ports.clock);
-        this.guard = new PauseGuard({ ...ports, log: this.log, refresh: () => this.refresh() });
+        this.guard = new PauseGuard({ ...ports, log: this.log, refresh: since => this.refresh(since) });
         this.configuration = this.newConfiguration();
         this.restrictions = new Restrictions(this.configuration);
         this.membership = this.newMembership();
@@ -316,9 +316,9 @@
     private readonly allowed = (endpoint: Endpoint): boolean => !this.restrictions.forbids(endpoint.record);
 
     /** Learns what peers and platform know now; false while none of them answers. */
-    private async refresh(): Promise<boolean> {
+    private async refresh(since: Milliseconds): Promise<boolean> {
         const listed = listConfiguration(this.readerParts()).then(() => true, () => false);
-        const [platformAnswered, peersAnswered] = await Promise.all([listed, this.membership.askPeers()]);
+        const [platformAnswered, peersAnswered] = await Promise.all([listed, this.membership.askPeers(since)]);
         this.table.changed.notify();
         // Without peers no other entry can have taken an order meanwhile.
         return platformAnswered || peersAnswered > 0 || this.membership.peers().length === 0;
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -28,6 +28,8 @@
     heartbeat: Heartbeat | undefined;
     /** When the exchange that brought it was begun, on this entry's clock. */
     askedAt: Milliseconds;
+    /** When the peer's present process first answered. */
+    knownSince: Milliseconds;
 }
 
 /** What membership works with. */
@@ -91,10 +93,14 @@
         return [...names, this.parts.self().id];
     }
 
-    /** Exchanges one heartbeat with every peer, for news missed during a pause; returns how many answered. */
-    async askPeers(): Promise<number> {
-        const answers = await Promise.all(this.peers().map(peer => this.askPeer(peer)));
-        return answers.filter(answered => answered).length;
+    /**
+     * Exchanges one heartbeat with every peer, for news missed during a pause; returns how many answered whose
+     * process was known `before`. One that started meanwhile may know no more than this entry.
+     */
+    async askPeers(before: Milliseconds): Promise<number> {
+        const peers = this.peers();
+        const answers = await Promise.all(peers.map(peer => this.askPeer(peer)));
+        return peers.filter((peer, index) => answers[index] && peer.knownSince < before).length;
     }
 
     /** Sends the next heartbeat to every peer at once, because there is news. */
@@ -189,7 +195,7 @@
             return;
         }
         const task = new AbortController();
-        const state: PeerState = { record, heartbeat: undefined, askedAt: -Infinity };
+        const state: PeerState = { record, heartbeat: undefined, askedAt: -Infinity, knownSince: Infinity };
         this.peerStates.set(record.id, state);
         this.peerTasks.set(record.id, task);
         void this.followPeer(state, task.signal);
@@ -214,8 +220,9 @@
         const askedAt = this.parts.clock.now();
         try {
             const heartbeat = await this.parts.peers.heartbeat(peer.record.address, this.parts.ownHeartbeat());
-            if (peer.heartbeat && peer.heartbeat.incarnation !== heartbeat.incarnation) {
+            if (peer.heartbeat?.incarnation !== heartbeat.incarnation) {
                 this.noteLoss(peer);
+                peer.knownSince = askedAt;
             }
             peer.heartbeat = heartbeat;
             peer.askedAt = askedAt;
--- a/src/core/pauseGuard.ts
+++ b/src/core/pauseGuard.ts
@@ -12,8 +12,8 @@
     clock: Clock;
     log: PartLog;
     timeline: Timeline;
-    /** Tries to learn what happened meanwhile; ends within a bound and says whether anybody could tell. */
-    refresh: () => Promise<boolean>;
+    /** Tries to learn what happened after `since`; ends within a bound and says whether anybody could tell. */
+    refresh: (since: Milliseconds) => Promise<boolean>;
 }
 
 /**
@@ -42,20 +42,21 @@
         while (!signal.aborted) {
             await this.parts.clock.sleep(tickMilliseconds, signal);
             const now = this.parts.clock.now();
-            const pause = now - this.tickedAt;
+            const since = this.tickedAt;
+            const pause = now - since;
             this.tickedAt = now;
             if (pause >= pausedMilliseconds && !this.refreshing) {
                 this.refreshing = true;
                 this.parts.log.warn("This process was paused.", { milliseconds: Math.round(pause) });
                 this.parts.timeline.record("entry", "paused", undefined, `${Math.round(pause)} ms`);
                 // Not awaited: the ticks must go on, or the refresh itself would look like a pause.
-                void this.refresh(signal);
+                void this.refresh(since, signal);
             }
         }
     }
 
-    private async refresh(signal: AbortSignal): Promise<void> {
-        while (!signal.aborted && !await this.parts.refresh()) {
+    private async refresh(since: Milliseconds, signal: AbortSignal): Promise<void> {
+        while (!signal.aborted && !await this.parts.refresh(since)) {
             await this.parts.clock.sleep(refreshRetryMilliseconds, signal);
         }
         this.refreshing = false;
