A replaced process says that its memory of keys is incomplete

Now a process that finds its own instance on the list with another incarnation counts that as a loss, and answers incomplete for ten minutes. Ruled out: the peers' noting of the loss (they had, but the asking entry had been cut off meanwhile).

--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -111,6 +111,7 @@
     /** Takes a list, from the platform or a peer. */
     takeList(list: readonly InstanceRecord[]): void {
         this.records = new Map(list.map(record => [record.id, record]));
+        this.notePredecessor();
         this.followPeers();
         this.changed.notify();
     }
@@ -182,6 +183,15 @@
         }
     }
 
+    /** A process that replaces one of its own instance has lost what that one knew. */
+    private notePredecessor(): void {
+        const self = this.parts.self();
+        const listed = this.records.get(self.id);
+        if (listed && listed.incarnation !== self.incarnation && listed.state !== InstanceState.Leaving) {
+            this.peerLostAt = this.parts.clock.now();
+        }
+    }
+
     private noteLoss(peer: PeerState | undefined): void {
         if (peer?.heartbeat && peer.heartbeat.state !== InstanceState.Leaving) {
             this.peerLostAt = this.parts.clock.now();
