One bound whose passing is an outcome, in place of three copies

Asking homes, judging a loss and keeping an answer each caught the same error around the same bound; withinOrUndefined now serves all three. Behaviour is as before.

--- a/__tests__/support/world.ts
+++ b/__tests__/support/world.ts
@@ -106,7 +106,7 @@
     lostAcceptances = 0;
     /** Frames sent again behind their successors, as a late connection would. */
     repeatsFrames = false;
-    /** Incarnation, request and time of every start. */
+    /** Request, sender and time of every start. */
     readonly starts: { requestId: string; entry: string; at: number; }[] = [];
 
     constructor(readonly record: InstanceRecord, shape: EngineShape, random: Random) {
--- a/src/core/claims.ts
+++ b/src/core/claims.ts
@@ -27,6 +27,7 @@
     TimeLimitError,
     Timeline,
     within,
+    withinOrUndefined,
 } from "../internal.js";
 
 /** Bound on settling a claim before the call: past it the platform counts as down. */
@@ -186,14 +187,7 @@
     async keep(claim: HeldClaim, answer: ServiceAnswer | undefined): Promise<void> {
         const value: ClaimValue = { ...claim.value, ...this.outcomeOf(answer) };
         const kept = this.writeOutcome(claim, value).finally(() => this.running.delete(claim.value.nonce));
-        try {
-            await within(this.parts.clock, keepMilliseconds, "keeping an answer", () => kept);
-        }
-        catch (error) {
-            if (!(error instanceof TimeLimitError)) {
-                throw error;
-            }
-        }
+        await withinOrUndefined(this.parts.clock, keepMilliseconds, "keeping an answer", () => kept);
     }
 
     /** Answers a peer that found a claim of this entry. */
--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -28,6 +28,7 @@
     TimeLimitError,
     Timeline,
     within,
+    withinOrUndefined,
     Work,
 } from "../internal.js";
 
@@ -411,7 +412,8 @@
     ): Promise<void> {
         const { work } = request;
         if (outcome.type === "Lost") {
-            await this.judgeLossInTime(work, place);
+            const limit = work.deadline.remaining();
+            await withinOrUndefined(this.parts.clock, limit, "an endpoint's report", () => this.judgeLoss(work, place));
         }
         this.checkDeadline(work, progress);
         progress.attempt++;
@@ -431,18 +433,6 @@
         }
     }
 
-    private async judgeLossInTime(work: Work, place: AttemptPlace): Promise<void> {
-        try {
-            const limit = work.deadline.remaining();
-            await within(this.parts.clock, limit, "an endpoint's report", () => this.judgeLoss(work, place));
-        }
-        catch (error) {
-            if (!(error instanceof TimeLimitError)) {
-                throw error;
-            }
-        }
-    }
-
     /** Finds out whether the endpoint died with this request on it. */
     private async judgeLoss(work: Work, place: AttemptPlace): Promise<void> {
         for (const member of place.members) {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -17,9 +17,8 @@
     RequestFailure,
     Router,
     Suspects,
-    TimeLimitError,
     Waiter,
-    within,
+    withinOrUndefined,
     Work,
 } from "../internal.js";
 
@@ -245,17 +244,9 @@
     }
 
     /** Several homes that are silent, asked one after the other, must not carry a request past its deadline. */
-    private async askHomesInTime(work: Work, avoid: ReadonlySet<string>): Promise<Placement | undefined> {
-        const { clock } = this.parts;
-        try {
-            return await within(clock, work.deadline.remaining(), "a permit", () => this.askHomes(work, avoid));
-        }
-        catch (error) {
-            if (error instanceof TimeLimitError) {
-                return undefined;
-            }
-            throw error;
-        }
+    private askHomesInTime(work: Work, avoid: ReadonlySet<string>): Promise<Placement | undefined> {
+        const limit = work.deadline.remaining();
+        return withinOrUndefined(this.parts.clock, limit, "a permit", () => this.askHomes(work, avoid));
     }
 
     private async askHomes(work: Work, avoid: ReadonlySet<string>): Promise<Placement | undefined> {
--- a/src/utils/bounds.ts
+++ b/src/utils/bounds.ts
@@ -39,6 +39,24 @@
     }
 };
 
+/** As {@link within}, but a limit that passes is an outcome of its own: undefined. */
+export const withinOrUndefined = async <Result>(
+    clock: Clock,
+    limit: Milliseconds,
+    subject: string,
+    work: () => Promise<Result>,
+): Promise<Result | undefined> => {
+    try {
+        return await within(clock, limit, subject, work);
+    }
+    catch (error) {
+        if (error instanceof TimeLimitError) {
+            return undefined;
+        }
+        throw error;
+    }
+};
+
 /** An abort controller that many tasks may listen to; Node would warn of a leak from the eleventh on. */
 export const sharedAbort = (): AbortController => {
     const controller = new AbortController();
