--- a/src/adapters/callers/problem.ts
+++ b/src/adapters/callers/problem.ts
@@ -1,7 +1,8 @@
 /** Refusals and failures as `application/problem+json`. */
 import { ServerResponse } from "node:http";
 import { match } from "ts-pattern";
-import { describeError, Execution, FailureKind, RequestFailure } from "../../internal.js";
+import { Execution, FailureKind, RequestFailure } from "../../core/failures.js";
+import { describeError } from "../../utils/errors.js";
 
 /** The object that every refused or failed request answers with. */
 export interface Problem {
@@ -25,6 +26,10 @@
         .with(FailureKind.UnknownCustomer, () => ({ status: 401, title: "Unknown customer" }))
         .with(FailureKind.UnknownModel, () => ({ status: 404, title: "Unknown model" }))
         .with(FailureKind.UnknownService, () => ({ status: 404, title: "Unknown service" }))
+        .with(FailureKind.UnknownRoute, () => ({ status: 404, title: "Unknown route" }))
+        .with(FailureKind.HeadersTooLarge, () => ({ status: 431, title: "Headers over the limit" }))
+        .with(FailureKind.RequestTooSlow, () => ({ status: 408, title: "Request too slow" }))
+        .with(FailureKind.NotConfigured, () => ({ status: 503, title: "No configuration yet" }))
         .with(FailureKind.KeyRequired, () => ({ status: 400, title: "Idempotency-Key required" }))
         .with(FailureKind.KeyReused, () => ({ status: 422, title: "Idempotency-Key reused with another request" }))
         .with(FailureKind.PromptTooLarge, () => ({ status: 413, title: "Prompt too large" }))
@@ -35,6 +40,7 @@
         .with(FailureKind.DeadlineExceeded, () => ({ status: 504, title: "Deadline exceeded" }))
         .with(FailureKind.RetriesExhausted, () => ({ status: 503, title: "Retries exhausted" }))
         .with(FailureKind.OutcomeUnknown, () => ({ status: 502, title: "Outcome unknown" }))
+        .with(FailureKind.AnswerUnusable, () => ({ status: 502, title: "Answer unusable" }))
         .with(FailureKind.AnswerNotKept, () => ({ status: 410, title: "Answer not kept" }))
         .with(FailureKind.Internal, () => ({ status: 500, title: "Internal error" }))
         .exhaustive();
--- /dev/null
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -0,0 +1,219 @@
+/** Sends orders to endpoints over HTTP, and says plainly what became of each. */
+import http from "node:http";
+import {
+    type EndpointOrder,
+    type EndpointOutcome,
+    type EndpointPort,
+    RefusalReason,
+    StreamBrokenError,
+    type StreamEvent,
+} from "../../ports/forwardingPorts.js";
+import { collectBody } from "../../utils/bodies.js";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
+import { describeError } from "../../utils/errors.js";
+import { EndpointAgent } from "./endpointAgent.js";
+import { EventReader } from "./eventReader.js";
+import type { AnswerFacts, ForwardingWire } from "./wireNames.js";
+
+/** A connection takes a few milliseconds between data centres; an instance without power never answers. */
+const connectAtMost: Milliseconds = 400;
+const misdirected = 421;
+/** An answer that is kept whole in memory; a larger one is no plain answer. */
+const answerBytesAtMost = 16 * 1024 * 1024;
+/** Statuses that promise "not run"; they may be passed on only with the endpoint's own word for it. */
+const promisingStatuses = new Set([408, 429, 503]);
+
+const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+
+/** The endpoints of a deployment. */
+export class EndpointClient implements EndpointPort {
+    private readonly agent = new EndpointAgent();
+
+    constructor(private readonly wire: ForwardingWire, private readonly clock: Clock) {}
+
+    send(order: EndpointOrder, signal: AbortSignal): Promise<EndpointOutcome> {
+        return new Promise(resolve => new Exchange(this.wire, this.clock, order, signal, resolve).start(this.agent));
+    }
+}
+
+/** One order on one connection. */
+class Exchange {
+    private settled = false;
+    private connected = false;
+    /** The head of an answer came; what follows is judged with its body. */
+    private answered = false;
+    private lost: string | undefined;
+
+    constructor(
+        private readonly wire: ForwardingWire,
+        private readonly clock: Clock,
+        private readonly order: EndpointOrder,
+        private readonly signal: AbortSignal,
+        private readonly resolve: (outcome: EndpointOutcome) => void,
+    ) {}
+
+    start(agent: http.Agent): void {
+        if (this.signal.aborted) {
+            this.settle({ type: "Unreached", reason: "cancelled" });
+            return;
+        }
+        const request = this.open(agent);
+        const cancel = () => request.destroy(new Error("cancelled"));
+        this.signal.addEventListener("abort", cancel, { once: true });
+        const connecting = new AbortController();
+        void this.clock.sleep(connectAtMost, connecting.signal).then(() => {
+            if (!connecting.signal.aborted && !this.connected) {
+                request.destroy(new Error("no connection in time"));
+            }
+        });
+        const onConnected = () => {
+            this.connected = true;
+            connecting.abort();
+        };
+        request.on("socket", socket => {
+            if (socket.connecting) {
+                socket.once("connect", onConnected);
+                return;
+            }
+            onConnected();
+        });
+        request.on("response", response => {
+            this.answered = true;
+            void this.receive(request, response);
+        });
+        request.on("error", error => {
+            this.lost = describeError(error);
+            this.settleUnanswered();
+        });
+        request.on("close", () => {
+            connecting.abort();
+            this.signal.removeEventListener("abort", cancel);
+            this.settleUnanswered();
+        });
+        request.end(this.order.request.body);
+    }
+
+    private open(agent: http.Agent): http.ClientRequest {
+        const { request, endpoint, mayReuseConnection } = this.order;
+        const separator = endpoint.address.lastIndexOf(":");
+        return http.request({
+            host: endpoint.address.slice(0, separator),
+            port: Number(endpoint.address.slice(separator + 1)),
+            method: request.method,
+            path: request.target,
+            headers: this.wire.orderHeaders(this.order),
+            // A kept connection may be closing while the request is on its way, and then nobody knows whether it ran.
+            agent: mayReuseConnection ? agent : false,
+        });
+    }
+
+    private settleUnanswered(): void {
+        if (!this.answered) {
+            const reason = this.lost ?? "the connection closed";
+            this.settle({ type: this.connected ? "Broken" : "Unreached", reason });
+        }
+    }
+
+    private settle(outcome: EndpointOutcome): void {
+        if (!this.settled) {
+            this.settled = true;
+            this.resolve(outcome);
+        }
+    }
+
+    private async receive(request: http.ClientRequest, response: http.IncomingMessage): Promise<void> {
+        const status = response.statusCode ?? 0;
+        const facts = this.wire.readAnswer(response.rawHeaders);
+        response.on("error", error => {
+            this.lost ??= describeError(error);
+        });
+        if (!this.answersThis(facts, request)) {
+            request.destroy();
+            this.settle({ type: "Broken", reason: `an answer to ${facts.requestId ?? "no request"} came` });
+            return;
+        }
+        if (facts.notRun || status === misdirected) {
+            response.resume();
+            this.settle({
+                type: "Refused",
+                reason: status === misdirected ? RefusalReason.WrongEndpoint : RefusalReason.Busy,
+                retryAfter: facts.retryAfter,
+                coldFor: facts.coldFor,
+            });
+            return;
+        }
+        if (isSuccess(status) && (!facts.signed || facts.encoded)) {
+            request.destroy();
+            this.settle({ type: "Broken", reason: "the answer isn't the endpoint's own" });
+            return;
+        }
+        const head = { status, headers: facts.headers };
+        if (this.order.streaming && isSuccess(status)) {
+            this.settle({ type: "Streaming", head, events: this.readEvents(response) });
+            return;
+        }
+        await this.receiveWhole(request, response, head);
+    }
+
+    private async receiveWhole(
+        request: http.ClientRequest,
+        response: http.IncomingMessage,
+        head: { status: number; headers: readonly string[]; },
+    ): Promise<void> {
+        try {
+            const body = await this.readWhole(response);
+            if (promisingStatuses.has(head.status)) {
+                this.settle({ type: "Broken", reason: `status ${head.status} without the word that nothing ran` });
+                return;
+            }
+            this.settle({ type: "Answered", head, body });
+        }
+        catch (error) {
+            request.destroy();
+            this.settle({ type: "Broken", reason: describeError(error) });
+        }
+    }
+
+    /**
+     * An answer belongs to this request when it bears its identifier. On a new connection nothing older can arrive, and a
+     * refusal there may come without one.
+     */
+    private answersThis(facts: AnswerFacts, request: http.ClientRequest): boolean {
+        return facts.requestId === this.order.request.id
+            || (facts.requestId === undefined && facts.notRun && !request.reusedSocket);
+    }
+
+    private async readWhole(response: http.IncomingMessage): Promise<Buffer> {
+        const body = await collectBody(response, { bytes: answerBytesAtMost, time: undefined }, this.clock);
+        this.checkWhole(response);
+        return body;
+    }
+
+    private async *readEvents(response: http.IncomingMessage): AsyncIterable<StreamEvent> {
+        const reader = new EventReader();
+        try {
+            for await (const chunk of response as AsyncIterable<Buffer>) {
+                yield* reader.push(chunk);
+            }
+            this.checkWhole(response);
+            if (!reader.whole) {
+                throw new StreamBrokenError("the stream ended within an event");
+            }
+        }
+        finally {
+            if (!response.complete) {
+                response.destroy();
+            }
+        }
+    }
+
+    /**
+     * A body without a length ends with its connection. Node takes a reset for such an end, and a body that lost its rest
+     * would look whole; an error on the request tells the two apart.
+     */
+    private checkWhole(response: http.IncomingMessage): void {
+        if (!response.complete || this.lost !== undefined) {
+            throw new StreamBrokenError(`the answer was cut: ${this.lost ?? "its connection closed"}`);
+        }
+    }
+}
--- /dev/null
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -0,0 +1,158 @@
+/** An entry that forwards callers' requests by routes: its parts wired together, its tasks and its planned stop. */
+import { ColdBudget } from "../../core/budgets/coldBudget.js";
+import { RepeatBudget } from "../../core/budgets/repeatBudget.js";
+import { ActiveConfiguration } from "../../core/configuration/activeConfiguration.js";
+import { followState, type StateSink } from "../../core/configuration/followState.js";
+import { Forwarder } from "../../core/forwarding/forwarder.js";
+import { EndpointDirectory } from "../../core/membership/endpointDirectory.js";
+import { FailureView } from "../../core/placement/failureView.js";
+import { LoadView } from "../../core/placement/loadView.js";
+import { Placer } from "../../core/placement/placer.js";
+import { SharedLoads } from "../../core/placement/sharedLoads.js";
+import { StateKind, type StatePort } from "../../ports/statePort.js";
+import type { RoutingConfiguration } from "../../types/routing.js";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
+import { describeError } from "../../utils/errors.js";
+import type { Listener } from "../../utils/httpServer.js";
+import type { PartLog } from "../../utils/log.js";
+import type { Random } from "../../utils/random.js";
+import { CallerPort } from "./callerPort.js";
+import { EndpointClient } from "./endpointClient.js";
+import type { ForwardingSettings } from "./entrySettings.js";
+import { serveReadiness } from "./readinessPort.js";
+import type { ForwardingWire } from "./wireNames.js";
+
+/**
+ * A stopping entry still serves what comes for this long. The balancer takes it out after two questions a second apart
+ * without a good answer; closing earlier would cut requests that are on their way.
+ */
+const lameDuck: Milliseconds = 2_600;
+/** Kept back from the grace for cutting what is left and ending the process. */
+const stopMargin: Milliseconds = 600;
+const stopLook: Milliseconds = 50;
+/** Entries that are assumed where membership isn't known; budgets are divided by it. */
+const entriesAssumed = 9;
+
+/** What an entry needs of the world. */
+export interface ForwardingEntryParts {
+    clock: Clock;
+    random: Random;
+    store: StatePort;
+    wire: ForwardingWire;
+    log: (part: string) => PartLog;
+}
+
+/** A running entry. */
+export class ForwardingEntry {
+    readonly configuration = new ActiveConfiguration();
+    readonly directory: EndpointDirectory;
+    readonly forwarder: Forwarder;
+    private readonly callers: CallerPort;
+    private readonly log: PartLog;
+    private readonly ending = new AbortController();
+    private readiness: Listener | undefined;
+    private stopping = false;
+
+    constructor(private readonly settings: ForwardingSettings, private readonly parts: ForwardingEntryParts) {
+        const { clock, random, wire, log } = parts;
+        this.log = log("entry");
+        this.directory = new EndpointDirectory(clock, log("directory"));
+        const failures = new FailureView(clock);
+        const view = new LoadView(clock);
+        const { repeats, cold } = settings;
+        const entries = () => entriesAssumed;
+        this.forwarder = new Forwarder({
+            clock,
+            random,
+            log: log("request"),
+            configuration: this.configuration,
+            directory: this.directory,
+            endpoints: new EndpointClient(wire, clock),
+            placer: new Placer(view, failures),
+            loads: new SharedLoads(view),
+            failures,
+            repeats: new RepeatBudget(
+                clock,
+                { share: repeats.share, window: repeats.windowSeconds * 1_000, extra: repeats.extra },
+                entries,
+            ),
+            cold: new ColdBudget(clock, cold, entries),
+            dataCentre: settings.instance.dataCentre,
+        });
+        this.callers = new CallerPort({
+            wire,
+            clock,
+            log: log("callers"),
+            serve: exchange => this.forwarder.serve(exchange),
+            routes: () => this.configuration.routes,
+            stopping: () => this.stopping,
+        });
+        this.configuration.onChange(routes => this.callers.limit(routes));
+    }
+
+    /** Whether this entry should get callers. */
+    get ready(): boolean {
+        return this.forwarder.ready && !this.stopping;
+    }
+
+    /** Starts listening and following the store; resolves with the callers' port. */
+    async start(): Promise<number> {
+        const { listen, instance } = this.settings;
+        this.readiness = await serveReadiness(listen.readiness, () => this.ready);
+        this.follow(StateKind.Configuration, this.configurationSink());
+        this.follow(StateKind.Endpoints, this.directory);
+        this.follow(StateKind.DataCentresOut, this.directory.out);
+        const port = await this.callers.listen(listen.callers);
+        this.log.info("The entry has started.", { instance: instance.id, callers: listen.callers });
+        return port;
+    }
+
+    /**
+     * Planned stop: not ready at once, serving what still comes until the balancer has noticed, then until the last
+     * request has its answer or the grace is over. Resolves when nothing is left.
+     */
+    async stop(): Promise<void> {
+        const { clock } = this.parts;
+        const begun = clock.now();
+        const grace = this.settings.stop.graceSeconds * 1_000 - stopMargin;
+        this.stopping = true;
+        this.log.info("The entry is stopping.", { active: this.forwarder.active });
+        await clock.sleep(Math.min(lameDuck, grace));
+        while (clock.now() - begun < grace) {
+            this.callers.closeIdle();
+            if (this.forwarder.active === 0 && this.callers.connections === 0) {
+                break;
+            }
+            await clock.sleep(stopLook);
+        }
+        this.log.info("The entry has stopped.", { active: this.forwarder.active, took: clock.now() - begun });
+        await this.close();
+    }
+
+    /** Ends at once and cuts what is left. */
+    async close(): Promise<void> {
+        this.ending.abort();
+        await Promise.all([this.callers.close(), this.readiness?.close()]);
+    }
+
+    private follow<Kind extends StateKind>(kind: Kind, sink: Parameters<typeof followState<Kind>>[2]): void {
+        const { store, clock, random, log } = this.parts;
+        followState({ store, clock, random, log: log("store") }, kind, sink, this.ending.signal).catch(error => {
+            this.log.error("Following the store ended.", { kind, error: describeError(error) });
+        });
+    }
+
+    private configurationSink(): StateSink<RoutingConfiguration> {
+        const take = (items: readonly { name: string; revision: number; value: RoutingConfiguration | undefined; }[]) => {
+            for (const { name, revision, value } of items) {
+                if (value && this.configuration.adopt(value)) {
+                    this.log.info("A configuration is in force.", { name, revision, version: value.version });
+                }
+            }
+        };
+        return {
+            replace: snapshot => take(snapshot.items),
+            apply: changes => take(changes.changes),
+        };
+    }
+}
--- /dev/null
+++ b/src/core/budgets/repeatBudget.ts
@@ -0,0 +1,59 @@
+/** Bounds how often requests of a service are sent again, over all entries together. */
+import type { Clock, Milliseconds } from "../../utils/clock.js";
+import { SlidingWindow } from "./slidingWindow.js";
+
+/** What all entries together may send again. */
+export interface RepeatLimits {
+    /** Share of the requests of the window. */
+    share: number;
+    window: Milliseconds;
+    /** Allowed beside the share, in a window. */
+    extra: number;
+}
+
+/** Part of the allowance that is used; the rest covers entries that count in windows that differ a little. */
+const usedPart = 0.8;
+
+/**
+ * This entry's part of the allowance.
+ *
+ * When many endpoints fail together, each failure asks for another send, and these alone can overload what is left; one
+ * would notice sends growing while answers fall. The share counts own requests only, and the extra is divided by the
+ * number of entries, so that the sum over all entries holds without asking anybody.
+ */
+export class RepeatBudget {
+    private readonly requests = new Map<string, SlidingWindow>();
+    private readonly repeats = new Map<string, SlidingWindow>();
+
+    constructor(
+        private readonly clock: Clock,
+        private readonly limits: RepeatLimits,
+        private readonly entries: () => number,
+    ) {}
+
+    /** Notes a caller's request for `service`. */
+    request(service: string): void {
+        this.window(this.requests, service).add();
+    }
+
+    /** Takes one repeat; false when the budget is spent. */
+    take(service: string): boolean {
+        const requests = this.window(this.requests, service).count();
+        const allowed = usedPart * (this.limits.share * requests + this.limits.extra / this.entries());
+        const repeats = this.window(this.repeats, service);
+        if (repeats.count() + 1 > allowed) {
+            return false;
+        }
+        repeats.add();
+        return true;
+    }
+
+    private window(windows: Map<string, SlidingWindow>, service: string): SlidingWindow {
+        let window = windows.get(service);
+        if (!window) {
+            window = new SlidingWindow(this.clock, this.limits.window);
+            windows.set(service, window);
+        }
+        return window;
+    }
+}
--- /dev/null
+++ b/src/core/budgets/slidingWindow.ts
@@ -0,0 +1,32 @@
+/** Counts events in a window of time that slides. */
+import type { Clock, Milliseconds } from "../../utils/clock.js";
+
+/** Events of the last `span` milliseconds. */
+export class SlidingWindow {
+    private times: Milliseconds[] = [];
+    private first = 0;
+
+    constructor(private readonly clock: Clock, private readonly span: Milliseconds) {}
+
+    add(): void {
+        this.forget();
+        this.times.push(this.clock.now());
+    }
+
+    count(): number {
+        this.forget();
+        return this.times.length - this.first;
+    }
+
+    private forget(): void {
+        const oldest = this.clock.now() - this.span;
+        while (this.first < this.times.length && this.times[this.first]! <= oldest) {
+            this.first++;
+        }
+        // The array is only cut now and then, so that forgetting costs a constant time an event.
+        if (this.first > 64 && this.first * 2 > this.times.length) {
+            this.times = this.times.slice(this.first);
+            this.first = 0;
+        }
+    }
+}
--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -1,5 +1,5 @@
 /** How a request fails: the one error that the core gives to callers' adapters. */
-import { DandelionrampError } from "../internal.js";
+import { DandelionrampError } from "../utils/errors.js";
 
 /** Whether the request ran on an endpoint. */
 export enum Execution {
@@ -16,6 +16,10 @@
     UnknownCustomer = "unknown-customer",
     UnknownModel = "unknown-model",
     UnknownService = "unknown-service",
+    UnknownRoute = "unknown-route",
+    HeadersTooLarge = "headers-too-large",
+    RequestTooSlow = "request-too-slow",
+    NotConfigured = "not-configured",
     KeyRequired = "idempotency-key-required",
     KeyReused = "idempotency-key-reused",
     PromptTooLarge = "prompt-too-large",
@@ -26,6 +30,8 @@
     DeadlineExceeded = "deadline-exceeded",
     RetriesExhausted = "retries-exhausted",
     OutcomeUnknown = "outcome-unknown",
+    /** The endpoint's answer was no whole answer to this request. */
+    AnswerUnusable = "answer-unusable",
     AnswerNotKept = "answer-not-kept",
     Internal = "internal",
 }
--- /dev/null
+++ b/src/core/forwarding/forwarder.ts
@@ -0,0 +1,98 @@
+/** Forwards callers' requests: one task a request, from its head to the last byte of its answer. */
+import type { CallerExchange, EndpointPort } from "../../ports/forwardingPorts.js";
+import type { Clock } from "../../utils/clock.js";
+import type { PartLog } from "../../utils/log.js";
+import type { Random } from "../../utils/random.js";
+import type { ColdBudget } from "../budgets/coldBudget.js";
+import type { RepeatBudget } from "../budgets/repeatBudget.js";
+import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import { Execution, FailureKind, RequestFailure } from "../failures.js";
+import type { EndpointDirectory } from "../membership/endpointDirectory.js";
+import type { FailureView } from "../placement/failureView.js";
+import type { Placer } from "../placement/placer.js";
+import type { SharedLoads } from "../placement/sharedLoads.js";
+import { admit } from "./admission.js";
+import { RequestTask } from "./requestTask.js";
+
+/** When to come back before the first list of endpoints is read. */
+const notListedRetrySeconds = 0.5;
+
+/** What forwarding works with. */
+export interface ForwardingParts {
+    clock: Clock;
+    random: Random;
+    log: PartLog;
+    configuration: ActiveConfiguration;
+    directory: EndpointDirectory;
+    endpoints: EndpointPort;
+    placer: Placer;
+    loads: SharedLoads;
+    failures: FailureView;
+    repeats: RepeatBudget;
+    cold: ColdBudget;
+    /** Data centre of this entry. */
+    dataCentre: string;
+}
+
+/** Serves callers' exchanges. */
+export class Forwarder {
+    private running = 0;
+
+    constructor(private readonly parts: ForwardingParts) {}
+
+    /** Whether requests can be placed: configuration and endpoints are known. */
+    get ready(): boolean {
+        return this.parts.configuration.routes !== undefined && this.parts.directory.ready;
+    }
+
+    /** Requests that are being served. */
+    get active(): number {
+        return this.running;
+    }
+
+    /** Serves one request to its end. Never rejects. */
+    async serve(exchange: CallerExchange): Promise<void> {
+        this.running++;
+        try {
+            await this.forward(exchange);
+        }
+        catch (error) {
+            this.fail(exchange, error);
+        }
+        finally {
+            this.running--;
+        }
+    }
+
+    private async forward(exchange: CallerExchange): Promise<void> {
+        const { configuration, directory, random, repeats } = this.parts;
+        const admission = admit(exchange.head, configuration.routes, random);
+        if (!directory.ready) {
+            const detail = "this entry has not learned its endpoints yet";
+            throw new RequestFailure(FailureKind.NoEndpoint, Execution.NotRun, detail, notListedRetrySeconds);
+        }
+        repeats.request(admission.service.name);
+        const limits = configuration.routes!.configuration.limits;
+        const body = await exchange.readBody(limits.bodyBytes);
+        await new RequestTask(this.parts, exchange, { ...exchange.head, body }, admission).run();
+    }
+
+    private fail(exchange: CallerExchange, error: unknown): void {
+        if (exchange.left.aborted) {
+            this.parts.log.info("The caller has left.", { requestId: exchange.head.id });
+            return;
+        }
+        const failure = error instanceof RequestFailure
+            ? error
+            : new RequestFailure(FailureKind.Internal, Execution.Unknown, String(error));
+        this.parts.log.warn("A request failed.", {
+            requestId: exchange.head.id,
+            kind: failure.kind,
+            execution: failure.execution,
+            retryAfter: failure.retryAfterSeconds,
+            reason: failure.message,
+            stack: failure.kind === FailureKind.Internal && error instanceof Error ? error.stack : undefined,
+        });
+        exchange.fail(failure);
+    }
+}
--- /dev/null
+++ b/src/core/placement/loadView.ts
@@ -0,0 +1,123 @@
+/**
+ * What is believed to be in progress at each endpoint: this entry's own requests, and those that other entries told of.
+ *
+ * The belief decays by itself: work ends by its deadline at the latest, and reading is taken as done when its predicted
+ * time has passed.
+ */
+import type { Clock, Milliseconds } from "../../utils/clock.js";
+
+/** A request placed at an endpoint. */
+export interface PlacedWork {
+    /** Names the attempt over all entries. */
+    id: string;
+    endpoint: string;
+    /** Context that it holds while it writes, in tokens; 0 for plain services. */
+    contextTokens: number;
+    /** Predicted time of reading it at this endpoint. */
+    readTime: Milliseconds;
+    /** The longest pause that its caller wants; undefined where it doesn't write a stream. */
+    targetGap: Milliseconds | undefined;
+    /** What is lost when it is late, relative to other work. */
+    value: number;
+    /** Whether it only reads a part here for another endpoint. */
+    helping: boolean;
+    /** When it has ended at the latest. */
+    endsBy: Milliseconds;
+}
+
+interface Work extends PlacedWork {
+    writing: boolean;
+    /** When its reading is predicted to end. */
+    readUntil: Milliseconds;
+}
+
+/** What is in progress at one endpoint. */
+export interface EndpointLoad {
+    /** Requests of all phases, without helping reads. */
+    requests: number;
+    /** Requests that read, helping reads included. */
+    readers: number;
+    writers: number;
+    /** Context of the writers in tokens. */
+    contextTokens: number;
+    /** Time until all reading is done. */
+    readBacklog: Milliseconds;
+    /** Sum of the writers' values, by the pause they tolerate. */
+    tolerances: { targetGap: Milliseconds; value: number; }[];
+}
+
+const idle: EndpointLoad = {
+    requests: 0,
+    readers: 0,
+    writers: 0,
+    contextTokens: 0,
+    readBacklog: 0,
+    tolerances: [],
+};
+
+/** Work in progress by endpoint. */
+export class LoadView {
+    private readonly byEndpoint = new Map<string, Map<string, Work>>();
+
+    constructor(private readonly clock: Clock) {}
+
+    /** Notes that work was placed. */
+    place(work: PlacedWork): void {
+        const now = this.clock.now();
+        let works = this.byEndpoint.get(work.endpoint);
+        if (!works) {
+            works = new Map();
+            this.byEndpoint.set(work.endpoint, works);
+        }
+        let freeAt = now;
+        for (const other of works.values()) {
+            freeAt = Math.max(freeAt, other.writing ? 0 : other.readUntil);
+        }
+        works.set(work.id, { ...work, writing: false, readUntil: freeAt + work.readTime });
+    }
+
+    /** Notes that work writes now; its reading, and a helper's part of it, are done. */
+    writes(endpoint: string, id: string): void {
+        const work = this.byEndpoint.get(endpoint)?.get(id);
+        if (work) {
+            work.writing = true;
+        }
+    }
+
+    /** Notes that work has ended. */
+    end(endpoint: string, id: string): void {
+        this.byEndpoint.get(endpoint)?.delete(id);
+    }
+
+    /** What is in progress at `endpoint` now. */
+    load(endpoint: string): EndpointLoad {
+        const works = this.byEndpoint.get(endpoint);
+        if (!works || works.size === 0) {
+            return idle;
+        }
+        const now = this.clock.now();
+        const load: EndpointLoad = { ...idle, tolerances: [] };
+        for (const work of works.values()) {
+            if (now >= work.endsBy || (work.helping && now >= work.readUntil)) {
+                works.delete(work.id);
+                continue;
+            }
+            addWork(load, work, now);
+        }
+        return load;
+    }
+}
+
+const addWork = (load: EndpointLoad, work: Work, now: Milliseconds): void => {
+    load.requests += work.helping ? 0 : 1;
+    if (!work.writing) {
+        load.readers++;
+        load.readBacklog = Math.max(load.readBacklog, work.readUntil - now);
+        return;
+    }
+    load.writers++;
+    load.contextTokens += work.contextTokens;
+    if (work.targetGap !== undefined) {
+        load.tolerances.push({ targetGap: work.targetGap, value: work.value });
+    }
+};
--- /dev/null
+++ b/src/core/placement/placer.ts
@@ -0,0 +1,169 @@
+/**
+ * Chooses the endpoint for a request, and endpoints that help to read a long prompt.
+ *
+ * Load pattern: short prompts in number, every ten seconds another mix of prompts a hundred times as long. A long read
+ * holds up the first event of all that come after it, and stretches every pause of those that write beside it. Work is
+ * placed where the least value is lost: by the newcomer's first event, and by the pauses of those it joins.
+ */
+import type { EngineProfile, ServiceDefinition } from "../../types/routing.js";
+import type { Milliseconds } from "../../utils/clock.js";
+import type { KnownEndpoint } from "../membership/endpointDirectory.js";
+import { passTime, readTime, readTimePerPassAtMost } from "./engineCost.js";
+import type { FailureView } from "./failureView.js";
+import type { EndpointLoad, LoadView } from "./loadView.js";
+
+/** A read this long is spread over helpers: it would hold up an endpoint for longer than short prompts can wait. */
+const longRead: Milliseconds = 800;
+/** Endpoints that may help one read; the engines take no more. */
+const helpersAtMost = 15;
+/** Writers that short prompts are packed to on one endpoint; each further one stretches the pauses of all. */
+const writersPacked = 7;
+/** A read up to this time goes beside writers; it lengthens one pause by its own time at most. */
+const shortRead: Milliseconds = 100;
+/** Part of a target from which on a prediction begins to count as late, and where it counts in full. */
+const lateFrom = 0.6;
+const lateInFull = 1.2;
+/** What a failure costs, relative to the value that is lost with it. */
+const failureCost = 1;
+/** Costs that only decide between equals. */
+const packingCost = 0.002;
+const distanceCost = 0.001;
+const queueCost = 0.02;
+
+/** What is to be placed. */
+export interface PlacementNeed {
+    service: ServiceDefinition;
+    promptTokens: number;
+    answerTokens: number;
+    targetLatency: Milliseconds;
+    targetGap: Milliseconds | undefined;
+    /** Time that the caller still wants to spend on the first event; the rest of the target. */
+    targetLeft: Milliseconds;
+    /** Data centre of this entry. */
+    dataCentre: string;
+    /** Endpoints that this request was sent to already. */
+    tried: ReadonlySet<string>;
+}
+
+/** Where a request goes. */
+export interface Placement {
+    endpoint: KnownEndpoint;
+    helpers: readonly KnownEndpoint[];
+    /** Predicted time of reading at each of them. */
+    readTime: Milliseconds;
+    /** Predicted time to the first event, or to the answer's start for plain services. */
+    firstEvent: Milliseconds;
+}
+
+/** What is lost when a generation is late, relative to others. Longer prompts are worth more. */
+export const valueOf = (promptTokens: number): number => 1 + promptTokens / 10_000;
+
+/** The chance of being late, from a prediction and its target. */
+const lateness = (predicted: Milliseconds, target: Milliseconds): number =>
+    Math.min(1, Math.max(0, (predicted / target - lateFrom) / (lateInFull - lateFrom)));
+
+/** Chooses among endpoints that may get work. */
+export class Placer {
+    constructor(private readonly loads: LoadView, private readonly failures: FailureView) {}
+
+    /** The best endpoint of `candidates`; undefined when there is none. */
+    place(need: PlacementNeed, candidates: readonly KnownEndpoint[]): Placement | undefined {
+        const untried = candidates.filter(({ record }) => !need.tried.has(record.id));
+        const rested = untried.filter(({ record }) => !this.failures.resting(record.id));
+        const choice = rested.length > 0 ? rested : untried;
+        const { engine } = need.service;
+        return engine ? this.placeGeneration(need, engine, choice) : this.placeCall(need, choice);
+    }
+
+    private placeCall(need: PlacementNeed, candidates: readonly KnownEndpoint[]): Placement | undefined {
+        const endpoint = cheapest(candidates, candidate => {
+            const { requests } = this.loads.load(candidate.record.id);
+            return requests / candidate.record.slots + this.plainCost(need, candidate);
+        });
+        return endpoint && { endpoint, helpers: [], readTime: 0, firstEvent: 0 };
+    }
+
+    private placeGeneration(
+        need: PlacementNeed,
+        engine: EngineProfile,
+        candidates: readonly KnownEndpoint[],
+    ): Placement | undefined {
+        const alone = readTime(engine, need.promptTokens);
+        const idle = alone > longRead ? this.idleEndpoints(candidates) : [];
+        // Parts are kept short, but not all idle endpoints are taken: the next long prompt needs some.
+        const readers = Math.max(1, Math.min(Math.ceil(alone / longRead), idle.length, helpersAtMost + 1));
+        const part = alone / readers;
+        const endpoint = cheapest(readers > 1 ? idle : candidates, candidate => {
+            const load = this.loads.load(candidate.record.id);
+            return this.generationCost(need, engine, load, part, candidate);
+        });
+        if (!endpoint) {
+            return undefined;
+        }
+        const helpers = idle.filter(other => other !== endpoint).slice(0, readers - 1);
+        const firstEvent = predictFirstEvent(engine, this.loads.load(endpoint.record.id), part);
+        return { endpoint, helpers, readTime: part, firstEvent };
+    }
+
+    /** What is lost by placing a read of `part` at a candidate. */
+    private generationCost(
+        need: PlacementNeed,
+        engine: EngineProfile,
+        load: EndpointLoad,
+        part: Milliseconds,
+        candidate: KnownEndpoint,
+    ): number {
+        const value = valueOf(need.promptTokens);
+        const firstEvent = predictFirstEvent(engine, load, part);
+        let cost = value * lateness(firstEvent, Math.max(1, need.targetLeft));
+        const pause = passTime(engine, load.writers + 1, load.contextTokens + need.promptTokens)
+            + Math.min(load.readBacklog + part, readTimePerPassAtMost(engine));
+        for (const other of load.tolerances) {
+            cost += other.value * lateness(pause, other.targetGap);
+        }
+        if (load.requests >= engine.slots) {
+            cost += value;
+        }
+        cost += queueCost * value * firstEvent / need.targetLatency;
+        cost += part <= shortRead ? packing(load) : packingCost * load.writers;
+        return cost + this.plainCost(need, candidate) * value;
+    }
+
+    private plainCost(need: PlacementNeed, { record }: KnownEndpoint): number {
+        return failureCost * this.failures.share(record.id)
+            + (record.dataCentre === need.dataCentre ? 0 : distanceCost);
+    }
+
+    private idleEndpoints(candidates: readonly KnownEndpoint[]): KnownEndpoint[] {
+        return candidates.filter(({ record }) => {
+            const load = this.loads.load(record.id);
+            return load.readers === 0 && load.writers === 0;
+        });
+    }
+}
+
+/** Short prompts join those that write already, so that other endpoints stay free for long reads. */
+const packing = (load: EndpointLoad): number =>
+    load.writers < writersPacked ? packingCost * (writersPacked - load.writers) : packingCost * 3 * load.writers;
+
+/** Half a pass is left on average, then what waits is read, then this prompt, then its first pass writes. */
+const predictFirstEvent = (engine: EngineProfile, load: EndpointLoad, part: Milliseconds): Milliseconds => {
+    const pass = passTime(engine, load.writers + 1, load.contextTokens);
+    return (load.writers > 0 ? pass / 2 : 0) + load.readBacklog + part + pass;
+};
+
+const cheapest = (
+    candidates: readonly KnownEndpoint[],
+    costOf: (candidate: KnownEndpoint) => number,
+): KnownEndpoint | undefined => {
+    let best: KnownEndpoint | undefined;
+    let bestCost = Infinity;
+    for (const candidate of candidates) {
+        const cost = costOf(candidate);
+        if (cost < bestCost) {
+            best = candidate;
+            bestCost = cost;
+        }
+    }
+    return best;
+};
--- /dev/null
+++ b/src/core/placement/sharedLoads.ts
@@ -0,0 +1,57 @@
+/** The load view together with telling the other entries what this one places. */
+import type { EndpointLoad, LoadView, PlacedWork } from "./loadView.js";
+
+/** Something that happened to placed work. */
+export type LoadNews =
+    | { type: "Placed"; works: readonly PlacedWork[]; }
+    | { type: "Writing"; endpoint: string; id: string; }
+    | { type: "Ended"; endpoints: readonly string[]; id: string; };
+
+/** Notes this entry's work, and tells of it. */
+export class SharedLoads {
+    /** Gets all news of this entry's own work. */
+    tell: (news: LoadNews) => void = () => {};
+
+    constructor(private readonly view: LoadView) {}
+
+    /** Notes that work was placed, with the parts that helpers read. */
+    place(works: readonly PlacedWork[]): void {
+        this.hear({ type: "Placed", works });
+        this.tell({ type: "Placed", works });
+    }
+
+    /** Notes that work writes its answer now. */
+    writes(endpoint: string, id: string): void {
+        this.hear({ type: "Writing", endpoint, id });
+        this.tell({ type: "Writing", endpoint, id });
+    }
+
+    /** Notes that work has ended at all of `endpoints`. */
+    end(endpoints: readonly string[], id: string): void {
+        this.hear({ type: "Ended", endpoints, id });
+        this.tell({ type: "Ended", endpoints, id });
+    }
+
+    /** Takes news, of this entry or another one. */
+    hear(news: LoadNews): void {
+        switch (news.type) {
+            case "Placed":
+                for (const work of news.works) {
+                    this.view.place(work);
+                }
+                return;
+            case "Writing":
+                this.view.writes(news.endpoint, news.id);
+                return;
+            case "Ended":
+                for (const endpoint of news.endpoints) {
+                    this.view.end(endpoint, news.id);
+                }
+                return;
+        }
+    }
+
+    load(endpoint: string): EndpointLoad {
+        return this.view.load(endpoint);
+    }
+}
--- /dev/null
+++ b/src/ports/statePort.ts
@@ -0,0 +1,62 @@
+/** What the core needs of the store that holds configuration, endpoints and data centres out. */
+import type { EndpointRecord, RoutingConfiguration } from "../types/routing.js";
+import type { Milliseconds } from "../utils/clock.js";
+import { DandelionrampError } from "../utils/errors.js";
+
+/** Kinds of stored objects that an entry follows. */
+export enum StateKind {
+    Configuration = "configuration",
+    Endpoints = "endpoints",
+    /** Data centres whose endpoints must get nothing. */
+    DataCentresOut = "dataCentresOut",
+}
+
+/** What an object of each kind holds. */
+export interface StateValues {
+    [StateKind.Configuration]: RoutingConfiguration;
+    [StateKind.Endpoints]: EndpointRecord;
+    [StateKind.DataCentresOut]: true;
+}
+
+/** One stored object. */
+export interface StateItem<Value> {
+    name: string;
+    revision: number;
+    /** Undefined where the object can't be read; such an object stands for nothing. */
+    value: Value | undefined;
+}
+
+/** All objects of a kind. */
+export interface StateSnapshot<Value> {
+    revision: number;
+    items: StateItem<Value>[];
+}
+
+/** One change of an object; `removed` says that it is gone. */
+export interface StateChange<Value> extends StateItem<Value> {
+    removed: boolean;
+}
+
+/** Changes in order, up to a revision. */
+export interface StateChanges<Value> {
+    revision: number;
+    changes: StateChange<Value>[];
+}
+
+/** The store didn't answer, or refused. */
+export class StateError extends DandelionrampError {}
+
+/** The changes since the asked revision are no longer kept; only a list tells what holds. */
+export class HistoryLostError extends StateError {}
+
+/** The store. Each call ends within a bound and throws {@link StateError}. */
+export interface StatePort {
+    list<Kind extends StateKind>(kind: Kind, signal: AbortSignal): Promise<StateSnapshot<StateValues[Kind]>>;
+    /** Resolves with the changes after `revision`, with none when `wait` runs out. */
+    watch<Kind extends StateKind>(
+        kind: Kind,
+        revision: number,
+        wait: Milliseconds,
+        signal: AbortSignal,
+    ): Promise<StateChanges<StateValues[Kind]>>;
+}
--- a/src/utils/bounds.ts
+++ b/src/utils/bounds.ts
@@ -1,6 +1,7 @@
 /** Every wait on something outside this process has a bound; these functions set it. */
 import { setMaxListeners } from "node:events";
-import { Clock, Milliseconds, TimeLimitError } from "../internal.js";
+import { Clock, Milliseconds } from "./clock.js";
+import { TimeLimitError } from "./errors.js";
 
 /**
  * Runs `work` for at most `limit` milliseconds.
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -1,5 +1,5 @@
 /** The time line of one process: a bounded ring of events that a collector reads and merges. */
-import { Clock, Milliseconds } from "../internal.js";
+import { Clock, Milliseconds } from "./clock.js";
 
 /** One thing that happened. */
 export interface TimelineEvent {
--- a/src/utils/httpClient.ts
+++ b/src/utils/httpClient.ts
@@ -1,6 +1,6 @@
 /** Outgoing HTTP over Node's `http`, with a plain answer to the question whether a request may have been read. */
 import http from "node:http";
-import { BodyTooLargeError, describeError, ExchangeError } from "../internal.js";
+import { BodyTooLargeError, describeError, ExchangeError } from "./errors.js";
 
 /** One outgoing request. */
 export interface OutgoingRequest {
--- a/src/utils/httpServer.ts
+++ b/src/utils/httpServer.ts
@@ -1,7 +1,7 @@
 /** Incoming HTTP over Node's `http`: listening, JSON answers, and stopping. */
 import http from "node:http";
 import { AddressInfo } from "node:net";
-import { Clock, Milliseconds } from "../internal.js";
+import { Clock, Milliseconds } from "./clock.js";
 
 /** A listening server and the address it got. */
 export interface Listener {
--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -2,7 +2,7 @@
 import { parse } from "ini";
 import { readFileSync } from "node:fs";
 import { z } from "zod";
-import { DandelionrampError, describeError } from "../internal.js";
+import { DandelionrampError, describeError } from "./errors.js";
 
 /** A settings file that can't be used. */
 export class SettingsError extends DandelionrampError {}
