Entries tell one another what they place

Ruled out: the endpoints' strength (few slots taken). One datagram at each placement, gathered ones for first events and ends, a list of what is in progress twice a second.

--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -5,6 +5,7 @@
 import { followState, type StateSink } from "../../core/configuration/followState.js";
 import { Forwarder } from "../../core/forwarding/forwarder.js";
 import { EndpointDirectory } from "../../core/membership/endpointDirectory.js";
+import { Peers } from "../../core/membership/peers.js";
 import { FailureView } from "../../core/placement/failureView.js";
 import { LoadView } from "../../core/placement/loadView.js";
 import { Placer } from "../../core/placement/placer.js";
@@ -15,10 +16,11 @@
 import { describeError } from "../../utils/errors.js";
 import type { Listener } from "../../utils/httpServer.js";
 import type { PartLog } from "../../utils/log.js";
-import type { Random } from "../../utils/random.js";
+import { type Random, randomIdentifier } from "../../utils/random.js";
 import { CallerPort } from "./callerPort.js";
 import { EndpointClient } from "./endpointClient.js";
 import type { ForwardingSettings } from "./entrySettings.js";
+import { PeerSocket } from "./peerSocket.js";
 import { serveReadiness } from "./readinessPort.js";
 import type { ForwardingWire } from "./wireNames.js";
 
@@ -30,6 +32,9 @@
 /** Kept back from the grace for cutting what is left and ending the process. */
 const stopMargin: Milliseconds = 600;
 const stopLook: Milliseconds = 50;
+/** How often the store's list of entries is read, for entries that lost sight of one another. */
+const meetInterval: Milliseconds = 10_000;
+const meetRetry: Milliseconds = 1_000;
 /** Entries that are assumed where membership isn't known; budgets are divided by it. */
 const entriesAssumed = 9;
 
@@ -48,6 +53,8 @@
     readonly directory: EndpointDirectory;
     readonly forwarder: Forwarder;
     private readonly callers: CallerPort;
+    private readonly peers: Peers;
+    private readonly peerSocket: PeerSocket;
     private readonly log: PartLog;
     private readonly ending = new AbortController();
     private readiness: Listener | undefined;
@@ -60,6 +67,7 @@
         const failures = new FailureView(clock);
         const view = new LoadView(clock);
         const { repeats, cold } = settings;
+        const loads = new SharedLoads(view);
         const entries = () => entriesAssumed;
         this.forwarder = new Forwarder({
             clock,
@@ -69,7 +77,7 @@
             directory: this.directory,
             endpoints: new EndpointClient(wire, clock),
             placer: new Placer(view, failures),
-            loads: new SharedLoads(view),
+            loads,
             failures,
             repeats: new RepeatBudget(
                 clock,
@@ -77,8 +85,22 @@
                 entries,
             ),
             cold: new ColdBudget(clock, cold, entries),
+            entry: settings.instance.id,
             dataCentre: settings.instance.dataCentre,
         });
+        this.peerSocket = new PeerSocket(log("peers"), message => this.peers.hear(message));
+        this.peers = new Peers({
+            clock,
+            log: log("peers"),
+            channel: this.peerSocket,
+            loads,
+            self: {
+                id: settings.instance.id,
+                address: settings.listen.peers,
+                incarnation: randomIdentifier(random),
+            },
+            inProgress: () => this.forwarder.inProgress,
+        });
         this.callers = new CallerPort({
             wire,
             clock,
@@ -99,6 +121,9 @@
     async start(): Promise<number> {
         const { listen, instance } = this.settings;
         this.readiness = await serveReadiness(listen.readiness, () => this.ready);
+        await this.peerSocket.listen(listen.peers);
+        this.run("the heartbeat", this.peers.sayAlive(this.ending.signal));
+        this.run("the list of entries", this.meetPeers());
         this.follow(StateKind.Configuration, this.configurationSink());
         this.follow(StateKind.Endpoints, this.directory);
         this.follow(StateKind.DataCentresOut, this.directory.out);
@@ -116,6 +141,8 @@
         const begun = clock.now();
         const grace = this.settings.stop.graceSeconds * 1_000 - stopMargin;
         this.stopping = true;
+        this.peers.sayStopping();
+        this.run("leaving the list of entries", this.parts.store.withdraw(this.settings.instance.id, this.ending.signal));
         this.log.info("The entry is stopping.", { active: this.forwarder.active });
         await clock.sleep(Math.min(lameDuck, grace));
         while (clock.now() - begun < grace) {
@@ -132,14 +159,44 @@
     /** Ends at once and cuts what is left. */
     async close(): Promise<void> {
         this.ending.abort();
+        this.peerSocket.close();
         await Promise.all([this.callers.close(), this.readiness?.close()]);
     }
 
     private follow<Kind extends StateKind>(kind: Kind, sink: Parameters<typeof followState<Kind>>[2]): void {
         const { store, clock, random, log } = this.parts;
-        followState({ store, clock, random, log: log("store") }, kind, sink, this.ending.signal).catch(error => {
-            this.log.error("Following the store ended.", { kind, error: describeError(error) });
-        });
+        const following = followState({ store, clock, random, log: log("store") }, kind, sink, this.ending.signal);
+        this.run(`following ${kind}`, following);
+    }
+
+    private run(task: string, work: Promise<void>): void {
+        work.catch(error => this.log.error("A task ended.", { task, error: describeError(error) }));
+    }
+
+    /**
+     * Puts this entry on the store's list and reads who else is there. It writes before it reads, so that of two entries
+     * that start together at least one finds the other, and greets it.
+     */
+    private async meetPeers(): Promise<void> {
+        const { store, clock } = this.parts;
+        const { signal } = this.ending;
+        let announced = false;
+        while (!signal.aborted) {
+            let pause = meetRetry;
+            try {
+                if (!announced && !this.stopping) {
+                    await store.announce(this.settings.instance.id, { address: this.settings.listen.peers }, signal);
+                    announced = true;
+                }
+                const { items } = await store.list(StateKind.Entries, signal);
+                this.peers.listed(items.flatMap(({ name, value }) => value ? [{ id: name, ...value }] : []));
+                pause = meetInterval;
+            }
+            catch (error) {
+                this.log.warn("The list of entries can't be had.", { error: describeError(error) });
+            }
+            await clock.sleep(pause, signal);
+        }
     }
 
     private configurationSink(): StateSink<RoutingConfiguration> {
--- /dev/null
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -0,0 +1,111 @@
+/** Datagrams between entries, as JSON-RPC 2.0 notifications. */
+import dgram from "node:dgram";
+import { JSONRPCClient, type JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
+import { z } from "zod";
+import type { PeerMessage, PeerNewsPort } from "../../ports/peerNewsPort.js";
+import { describeError } from "../../utils/errors.js";
+import type { PartLog } from "../../utils/log.js";
+
+const newsMethod = "news";
+/** A datagram above this would be split on the way, and lost when any piece is. */
+const datagramBytesAtMost = 60_000;
+
+const work = z.object({
+    id: z.string(),
+    endpoint: z.string(),
+    contextTokens: z.number(),
+    readTime: z.number(),
+    targetGap: z.number().optional(),
+    value: z.number(),
+    helping: z.boolean(),
+    endsIn: z.number(),
+});
+
+const message = z.object({
+    from: z.object({ id: z.string(), address: z.string(), incarnation: z.string() }),
+    news: z.array(z.discriminatedUnion("type", [
+        z.object({ type: z.literal("Placed"), works: z.array(work) }),
+        z.object({ type: z.literal("Writing"), endpoint: z.string(), id: z.string() }),
+        z.object({ type: z.literal("Ended"), endpoints: z.array(z.string()), id: z.string() }),
+        z.object({ type: z.literal("Alive"), inProgress: z.array(z.string()) }),
+        z.object({ type: z.literal("Stopping") }),
+    ])),
+});
+
+/** The channel to the other entries. */
+export class PeerSocket implements PeerNewsPort {
+    private readonly socket = dgram.createSocket("udp4");
+    private readonly server = new JSONRPCServer({ errorListener: () => {} });
+    private addresses: readonly string[] = [];
+    private readonly client = new JSONRPCClient((request: JSONRPCRequest) => this.write(request));
+    private failures = 0;
+
+    constructor(private readonly log: PartLog, hear: (heard: PeerMessage) => void) {
+        this.server.addMethod(newsMethod, parameters => {
+            const heard = message.safeParse(parameters);
+            if (heard.success) {
+                hear(heard.data as PeerMessage);
+            }
+            else {
+                this.log.warn("A datagram can't be read.", { reason: heard.error.issues[0]?.message });
+            }
+        });
+        this.socket.on("message", bytes => void this.receive(bytes));
+        this.socket.on("error", error => this.noteFailure(error));
+    }
+
+    /** Takes datagrams at `host:port`. Rejects when the address can't be had. */
+    listen(address: string): Promise<void> {
+        const separator = address.lastIndexOf(":");
+        return new Promise((resolve, reject) => {
+            this.socket.once("error", reject);
+            this.socket.bind(Number(address.slice(separator + 1)), address.slice(0, separator), () => {
+                this.socket.off("error", reject);
+                resolve();
+            });
+        });
+    }
+
+    send(addresses: readonly string[], news: PeerMessage): void {
+        this.addresses = addresses;
+        this.client.notify(newsMethod, news);
+    }
+
+    close(): void {
+        this.socket.close();
+    }
+
+    private write(request: JSONRPCRequest): Promise<void> {
+        const bytes = Buffer.from(JSON.stringify(request));
+        if (bytes.length > datagramBytesAtMost) {
+            this.log.warn("News is too large for a datagram.", { bytes: bytes.length });
+            return Promise.resolve();
+        }
+        for (const address of this.addresses) {
+            const separator = address.lastIndexOf(":");
+            this.socket.send(bytes, Number(address.slice(separator + 1)), address.slice(0, separator), error => {
+                if (error) {
+                    this.noteFailure(error);
+                }
+            });
+        }
+        return Promise.resolve();
+    }
+
+    private async receive(bytes: Buffer): Promise<void> {
+        try {
+            await this.server.receiveJSON(bytes.toString("utf8"));
+        }
+        catch (error) {
+            this.noteFailure(error);
+        }
+    }
+
+    /** A peer that is gone makes each send fail; one line a thousand tells enough. */
+    private noteFailure(error: unknown): void {
+        if (this.failures % 1_000 === 0) {
+            this.log.warn("A datagram failed.", { failures: this.failures, reason: describeError(error) });
+        }
+        this.failures++;
+    }
+}
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -30,13 +30,14 @@
     failures: FailureView;
     repeats: RepeatBudget;
     cold: ColdBudget;
-    /** Data centre of this entry. */
+    /** Name of this entry, and its data centre. */
+    entry: string;
     dataCentre: string;
 }
 
 /** Serves callers' exchanges. */
 export class Forwarder {
-    private running = 0;
+    private readonly running = new Map<CallerExchange, string>();
 
     constructor(private readonly parts: ForwardingParts) {}
 
@@ -47,12 +48,17 @@
 
     /** Requests that are being served. */
     get active(): number {
-        return this.running;
+        return this.running.size;
+    }
+
+    /** Identifiers of these requests. */
+    get inProgress(): string[] {
+        return [...this.running.values()];
     }
 
     /** Serves one request to its end. Never rejects. */
     async serve(exchange: CallerExchange): Promise<void> {
-        this.running++;
+        this.running.set(exchange, exchange.head.id);
         try {
             await this.forward(exchange);
         }
@@ -60,7 +66,7 @@
             this.fail(exchange, error);
         }
         finally {
-            this.running--;
+            this.running.delete(exchange);
         }
     }
 
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -300,6 +300,7 @@
         const promptTokens = this.request.size?.promptTokens ?? 0;
         const work = {
             id: this.request.id,
+            owner: this.parts.entry,
             endpoint: endpoint.record.id,
             contextTokens: promptTokens,
             readTime,
--- /dev/null
+++ b/src/core/membership/peers.ts
@@ -0,0 +1,182 @@
+/** The other entries, as far as this one hears of them, and what it tells them. */
+import type { PeerIdentity, PeerMessage, PeerNews, PeerNewsPort } from "../../ports/peerNewsPort.js";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
+import type { PartLog } from "../../utils/log.js";
+import type { PlacedWork } from "../placement/loadView.js";
+import type { LoadNews, SharedLoads } from "../placement/sharedLoads.js";
+
+/** How often an entry says that it lives. A lost message about an end is put right by the next one. */
+export const aliveInterval: Milliseconds = 500;
+/** An entry that wasn't heard for so long isn't counted. */
+const silentAfter: Milliseconds = 2_500;
+/** An entry that wasn't heard for so long isn't told anything any more; a list of the store may bring it back. */
+const forgottenAfter: Milliseconds = 20_000;
+/** News that isn't urgent waits so long for more, and goes in one datagram. */
+const gatherTime: Milliseconds = 10;
+/** Work placed this shortly before may be missing in what its entry says is in progress. */
+const aliveSlack: Milliseconds = 300;
+
+interface Peer {
+    identity: PeerIdentity;
+    heardAt: Milliseconds;
+    /** When it was listed or heard last. */
+    knownAt: Milliseconds;
+}
+
+/** What peers need. */
+export interface PeersParts {
+    clock: Clock;
+    log: PartLog;
+    channel: PeerNewsPort;
+    loads: SharedLoads;
+    self: PeerIdentity;
+    /** Identifiers of this entry's requests in progress. */
+    inProgress: () => string[];
+}
+
+/** The other entries. */
+export class Peers {
+    private readonly peers = new Map<string, Peer>();
+    private gathered: PeerNews[] = [];
+    private gathering = false;
+
+    constructor(private readonly parts: PeersParts) {
+        parts.loads.tell = news => this.tell(news);
+    }
+
+    /** Entries that were heard of late, this one included. */
+    get living(): number {
+        const now = this.parts.clock.now();
+        let count = 1;
+        for (const peer of this.peers.values()) {
+            count += now - peer.heardAt < silentAfter ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Takes the addresses of entries that the store lists. */
+    listed(identities: readonly Pick<PeerIdentity, "id" | "address">[]): void {
+        const now = this.parts.clock.now();
+        for (const { id, address } of identities) {
+            if (id === this.parts.self.id) {
+                continue;
+            }
+            const known = this.peers.get(id);
+            if (known && known.identity.address === address) {
+                known.knownAt = now;
+                continue;
+            }
+            this.peers.set(id, { identity: { id, address, incarnation: "" }, heardAt: -Infinity, knownAt: now });
+        }
+    }
+
+    /** Takes a datagram. */
+    hear({ from, news }: PeerMessage): void {
+        if (from.id === this.parts.self.id) {
+            return;
+        }
+        this.note(from);
+        for (const piece of news) {
+            this.take(from, piece);
+        }
+    }
+
+    /** Says that this entry lives until `signal` aborts. */
+    async sayAlive(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            this.flush({ type: "Alive", inProgress: this.parts.inProgress() });
+            this.forget();
+            await this.parts.clock.sleep(aliveInterval, signal);
+        }
+    }
+
+    /** Says that this entry stops. */
+    sayStopping(): void {
+        this.flush({ type: "Stopping" });
+    }
+
+    private note(from: PeerIdentity): void {
+        const now = this.parts.clock.now();
+        const known = this.peers.get(from.id);
+        if (known && known.identity.incarnation === from.incarnation) {
+            known.heardAt = now;
+            known.knownAt = now;
+            return;
+        }
+        // What an earlier life of the process had in progress has ended with it.
+        this.parts.loads.keepOnly(from.id, new Set(), now);
+        this.peers.set(from.id, { identity: from, heardAt: now, knownAt: now });
+        this.parts.log.info("An entry is there.", { entry: from.id, incarnation: from.incarnation });
+    }
+
+    private take(from: PeerIdentity, news: PeerNews): void {
+        const { clock, loads } = this.parts;
+        switch (news.type) {
+            case "Placed":
+                loads.hear({
+                    type: "Placed",
+                    works: news.works.map(({ endsIn, ...work }): PlacedWork => ({
+                        ...work,
+                        owner: from.id,
+                        endsBy: clock.now() + endsIn,
+                    })),
+                });
+                return;
+            case "Writing":
+            case "Ended":
+                loads.hear(news);
+                return;
+            case "Alive":
+                loads.keepOnly(from.id, new Set(news.inProgress), clock.now() - aliveSlack);
+                return;
+            case "Stopping":
+                this.peers.delete(from.id);
+                this.parts.log.info("An entry is stopping.", { entry: from.id });
+                return;
+        }
+    }
+
+    private tell(news: LoadNews): void {
+        switch (news.type) {
+            case "Placed": {
+                // Told at once: another entry may be choosing an endpoint in the same millisecond.
+                const now = this.parts.clock.now();
+                const works = news.works.map(({ endsBy, owner: _, ...work }) => ({ ...work, endsIn: endsBy - now }));
+                this.flush({ type: "Placed", works });
+                return;
+            }
+            case "Writing":
+            case "Ended":
+                this.gather({ ...news } as PeerNews);
+                return;
+        }
+    }
+
+    private gather(news: PeerNews): void {
+        this.gathered.push(news);
+        if (!this.gathering) {
+            this.gathering = true;
+            void this.parts.clock.sleep(gatherTime).then(() => this.flush());
+        }
+    }
+
+    private flush(news?: PeerNews): void {
+        this.gathering = false;
+        const all = news ? [...this.gathered, news] : this.gathered;
+        this.gathered = [];
+        const addresses = [...this.peers.values()].map(({ identity }) => identity.address);
+        if (all.length > 0 && addresses.length > 0) {
+            this.parts.channel.send(addresses, { from: this.parts.self, news: all });
+        }
+    }
+
+    private forget(): void {
+        const now = this.parts.clock.now();
+        for (const [id, peer] of this.peers) {
+            if (now - peer.knownAt >= forgottenAfter) {
+                this.peers.delete(id);
+                this.parts.log.info("An entry is forgotten.", { entry: id });
+            }
+        }
+    }
+}
--- a/src/core/placement/loadView.ts
+++ b/src/core/placement/loadView.ts
@@ -10,6 +10,8 @@
 export interface PlacedWork {
     /** Names the attempt over all entries. */
     id: string;
+    /** The entry that placed it. */
+    owner: string;
     endpoint: string;
     /** Context that it holds while it writes, in tokens; 0 for plain services. */
     contextTokens: number;
@@ -26,6 +28,7 @@
 }
 
 interface Work extends PlacedWork {
+    placedAt: Milliseconds;
     writing: boolean;
     /** When its reading is predicted to end. */
     readUntil: Milliseconds;
@@ -46,6 +49,12 @@
     tolerances: { targetGap: Milliseconds; value: number; }[];
 }
 
+/**
+ * An end is remembered for so long. Messages overtake one another, and work whose end came first would otherwise seem to
+ * go on until its deadline, on an endpoint that is idle.
+ */
+const endRemembered: Milliseconds = 1_000;
+
 const idle: EndpointLoad = {
     requests: 0,
     readers: 0,
@@ -58,12 +67,17 @@
 /** Work in progress by endpoint. */
 export class LoadView {
     private readonly byEndpoint = new Map<string, Map<string, Work>>();
+    /** When work ended that wasn't known, by endpoint and work. */
+    private readonly ends = new Map<string, Milliseconds>();
 
     constructor(private readonly clock: Clock) {}
 
     /** Notes that work was placed. */
     place(work: PlacedWork): void {
         const now = this.clock.now();
+        if (now - (this.ends.get(endKey(work.endpoint, work.id)) ?? -Infinity) < endRemembered) {
+            return;
+        }
         let works = this.byEndpoint.get(work.endpoint);
         if (!works) {
             works = new Map();
@@ -73,7 +87,7 @@
         for (const other of works.values()) {
             freeAt = Math.max(freeAt, other.writing ? 0 : other.readUntil);
         }
-        works.set(work.id, { ...work, writing: false, readUntil: freeAt + work.readTime });
+        works.set(work.id, { ...work, placedAt: now, writing: false, readUntil: freeAt + work.readTime });
     }
 
     /** Notes that work writes now; its reading, and a helper's part of it, are done. */
@@ -86,7 +100,28 @@
 
     /** Notes that work has ended. */
     end(endpoint: string, id: string): void {
-        this.byEndpoint.get(endpoint)?.delete(id);
+        if (this.byEndpoint.get(endpoint)?.delete(id)) {
+            return;
+        }
+        const now = this.clock.now();
+        this.ends.set(endKey(endpoint, id), now);
+        for (const [key, at] of this.ends) {
+            if (now - at < endRemembered) {
+                break;
+            }
+            this.ends.delete(key);
+        }
+    }
+
+    /** Drops what `owner` placed before `before` and doesn't name in `inProgress`. */
+    keepOnly(owner: string, inProgress: ReadonlySet<string>, before: Milliseconds): void {
+        for (const works of this.byEndpoint.values()) {
+            for (const work of works.values()) {
+                if (work.owner === owner && work.placedAt <= before && !inProgress.has(work.id)) {
+                    works.delete(work.id);
+                }
+            }
+        }
     }
 
     /** What is in progress at `endpoint` now. */
@@ -108,6 +143,8 @@
     }
 }
 
+const endKey = (endpoint: string, id: string): string => `${endpoint} ${id}`;
+
 const addWork = (load: EndpointLoad, work: Work, now: Milliseconds): void => {
     load.requests += work.helping ? 0 : 1;
     if (!work.writing) {
--- a/src/core/placement/sharedLoads.ts
+++ b/src/core/placement/sharedLoads.ts
@@ -1,4 +1,5 @@
 /** The load view together with telling the other entries what this one places. */
+import type { Milliseconds } from "../../utils/clock.js";
 import type { EndpointLoad, LoadView, PlacedWork } from "./loadView.js";
 
 /** Something that happened to placed work. */
@@ -51,6 +52,11 @@
         }
     }
 
+    /** Drops what another entry placed before `before` and no longer has in progress. */
+    keepOnly(owner: string, inProgress: ReadonlySet<string>, before: Milliseconds): void {
+        this.view.keepOnly(owner, inProgress, before);
+    }
+
     load(endpoint: string): EndpointLoad {
         return this.view.load(endpoint);
     }
--- a/src/ports/statePort.ts
+++ b/src/ports/statePort.ts
@@ -9,6 +9,8 @@
     Endpoints = "endpoints",
     /** Data centres whose endpoints must get nothing. */
     DataCentresOut = "dataCentresOut",
+    /** Entries, each under its own name. */
+    Entries = "entries",
 }
 
 /** What an object of each kind holds. */
@@ -16,6 +18,12 @@
     [StateKind.Configuration]: RoutingConfiguration;
     [StateKind.Endpoints]: EndpointRecord;
     [StateKind.DataCentresOut]: true;
+    [StateKind.Entries]: EntryRecord;
+}
+
+/** Where an entry takes the others' datagrams. */
+export interface EntryRecord {
+    address: string;
 }
 
 /** One stored object. */
@@ -52,6 +60,10 @@
 /** The store. Each call ends within a bound and throws {@link StateError}. */
 export interface StatePort {
     list<Kind extends StateKind>(kind: Kind, signal: AbortSignal): Promise<StateSnapshot<StateValues[Kind]>>;
+    /** Writes this entry's own record, whatever stands there. */
+    announce(name: string, record: EntryRecord, signal: AbortSignal): Promise<void>;
+    /** Removes this entry's own record. */
+    withdraw(name: string, signal: AbortSignal): Promise<void>;
     /** Resolves with the changes after `revision`, with none when `wait` runs out. */
     watch<Kind extends StateKind>(
         kind: Kind,
