A reset behind the last bytes of a body without a length is told from its end

After a reset the system knows no peer: asked before Node closes the socket. Also: a cancel after an order's end no longer reaches the connection's next request.

--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -39,6 +39,8 @@
 /** One order on one connection. */
 class Exchange {
     private settled = false;
+    /** Forgets the signal: a cancel after the end would hit the connection's next request. */
+    private release: () => void = () => {};
     private connected = false;
     /** The head of an answer came; what follows is judged with its body. */
     private answered = false;
@@ -60,6 +62,7 @@
         const request = this.open(agent);
         const cancel = () => request.destroy(new Error("cancelled"));
         this.signal.addEventListener("abort", cancel, { once: true });
+        this.release = () => this.signal.removeEventListener("abort", cancel);
         const connecting = new AbortController();
         void this.clock.sleep(connectAtMost, connecting.signal).then(() => {
             if (!connecting.signal.aborted && !this.connected) {
@@ -87,7 +90,7 @@
         });
         request.on("close", () => {
             connecting.abort();
-            this.signal.removeEventListener("abort", cancel);
+            this.release();
             this.settleUnanswered();
         });
         request.end(this.order.request.body);
@@ -127,6 +130,7 @@
         response.on("error", error => {
             this.lost ??= describeError(error);
         });
+        this.watchForReset(response);
         if (!this.answersThis(facts, request)) {
             request.destroy();
             this.settle({ type: "Broken", reason: `an answer to ${facts.requestId ?? "no request"} came` });
@@ -162,6 +166,7 @@
     ): Promise<void> {
         try {
             const body = await this.readWhole(response);
+            this.release();
             if (promisingStatuses.has(head.status)) {
                 this.settle({ type: "Broken", reason: `status ${head.status} without the word that nothing ran` });
                 return;
@@ -174,6 +179,23 @@
         }
     }
 
+    /**
+     * A body without a length ends with its connection. A reset that arrives together with the last bytes reaches Node as
+     * an ordinary end, and a body that lost its rest would look whole. After a reset the system knows no peer any more,
+     * after an ordinary end it does; this is asked before Node closes the socket.
+     */
+    private watchForReset(response: http.IncomingMessage): void {
+        const { headers, socket } = response;
+        if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) {
+            return;
+        }
+        socket.prependOnceListener("end", () => {
+            if (socket.remoteAddress === undefined) {
+                this.lost ??= "the connection was reset";
+            }
+        });
+    }
+
     /**
      * An answer belongs to this request when it bears its identifier. On a new connection nothing older can arrive, and a
      * refusal there may come without one.
@@ -201,16 +223,14 @@
             }
         }
         finally {
+            this.release();
             if (!response.complete) {
                 response.destroy();
             }
         }
     }
 
-    /**
-     * A body without a length ends with its connection. Node takes a reset for such an end, and a body that lost its rest
-     * would look whole; an error on the request tells the two apart.
-     */
+    /** Node calls a body without a length complete after a reset too; the error tells the two apart. */
     private checkWhole(response: http.IncomingMessage): void {
         if (!response.complete || this.lost !== undefined) {
             throw new StreamBrokenError(`the answer was cut: ${this.lost ?? "its connection closed"}`);
