--- /dev/null
+++ b/__tests__/forwarding/answers.test.ts
@@ -0,0 +1,142 @@
+/** Answers of faulty endpoints: none may reach a caller as a whole answer to its request. */
+import { afterEach, beforeEach, expect, test } from "vitest";
+import type { ReplicaFault } from "../../platform/standins/replicaServer.js";
+import { call, Site, type SiteEntry } from "./support/site.js";
+
+let site: Site;
+let entry: SiteEntry;
+
+beforeEach(async () => {
+    site = new Site();
+    await site.replica("i-1", "bookings");
+    site.configure(1);
+    entry = await site.start("entry-1");
+});
+
+afterEach(() => site.close());
+
+const withFault = (fault: ReplicaFault) => {
+    site.replicas.get("i-1")!.fault = fault;
+};
+
+const signed = (id: string, lines: string[]): string =>
+    [
+        "HTTP/1.1 200 OK",
+        `Dandelionramp-Request-Id: ${id}`,
+        "Dandelionramp-Response-Signature: signed-by-i-1",
+        ...lines,
+        "",
+        "",
+    ].join("\r\n");
+
+test("answer without a signature", async () => {
+    withFault(({ id }, response) => {
+        response.writeHead(200, { "dandelionramp-request-id": id }).end("not ours");
+        return true;
+    });
+    expect((await call(entry.callers, "/places/a")).status).toBe(502);
+});
+
+test("answer to another request", async () => {
+    withFault((...[, response, replica]) => {
+        response.writeHead(200, replica.answerHeaders("another")).end("somebody's bunk");
+        return true;
+    });
+    expect((await call(entry.callers, "/places/a")).status).toBe(502);
+});
+
+test("encoded answer", async () => {
+    withFault(({ id }, response, replica) => {
+        response.writeHead(200, { ...replica.answerHeaders(id), "content-encoding": "gzip" }).end("bytes");
+        return true;
+    });
+    expect((await call(entry.callers, "/places/a")).status).toBe(502);
+});
+
+test("bytes that are no answer", async () => {
+    withFault((...[, , , socket]) => {
+        socket.end("no protocol at all\r\n\r\n");
+        return true;
+    });
+    expect((await call(entry.callers, "/places/a")).status).toBe(502);
+});
+
+test("body shorter than its length", async () => {
+    withFault(({ id }, response) => {
+        response.socket?.end(`${signed(id, ["Content-Length: 50"])}short`);
+        return true;
+    });
+    expect((await call(entry.callers, "/places/a")).status).toBe(502);
+});
+
+test("body without a length that ends", async () => {
+    withFault(({ id }, response) => {
+        response.socket?.end(`${signed(id, ["Connection: close"])}the whole body`);
+        return true;
+    });
+    expect(await call(entry.callers, "/places/a")).toMatchObject({ status: 200, body: "the whole body" });
+});
+
+test("body without a length that is reset", async () => {
+    // A replica crashes within a body that has no length. The reset comes together with the last bytes, and Node reports it
+    // as an ordinary end: the caller would get half a body as a whole one.
+    withFault(({ id }, response) => {
+        response.socket?.write(`${signed(id, ["Connection: close"])}half a bo`);
+        (response.socket as import("node:net").Socket).resetAndDestroy();
+        return true;
+    });
+    expect((await call(entry.callers, "/places/a")).status).toBe(502);
+});
+
+test("refusal without the word that nothing ran", async () => {
+    // The replica says 503 and nothing more. Passed on, it would promise that the booking never ran.
+    withFault(({ id }, response, replica) => {
+        response.writeHead(503, replica.answerHeaders(id)).end();
+        return true;
+    });
+    const answer = await call(entry.callers, "/places/a");
+    expect(answer.status).toBe(502);
+    expect(JSON.parse(answer.body)).toMatchObject({ execution: "unknown" });
+});
+
+test("second answer on a kept connection", async () => {
+    // A replica sends an answer twice. The second copy lies on the connection when the next caller's request goes out on it,
+    // and would reach that caller as its own.
+    let extra = true;
+    withFault(({ id }, ...[, , socket]) => {
+        const text = `${signed(id, ["Content-Length: 5"])}bunk1`;
+        socket.write(text);
+        if (extra) {
+            extra = false;
+            setTimeout(() => socket.write(text), 20);
+        }
+        return true;
+    });
+    expect((await call(entry.callers, "/lookups/a", { id: "first" })).body).toBe("bunk1");
+    await new Promise(resolve => setTimeout(resolve, 60));
+    const second = await call(entry.callers, "/lookups/a", { id: "second" });
+    expect(second.status).toBe(200);
+    expect(second.headers["dandelionramp-request-id"]).toBe("second");
+});
+
+test("late answer where the next is due", async () => {
+    let calls = 0;
+    withFault(({ id }, ...[, , socket]) => {
+        calls++;
+        const answered = calls === 2 ? "first" : id;
+        socket.write(`${signed(answered, ["Content-Length: 5"])}bunk${calls}`);
+        return true;
+    });
+    expect((await call(entry.callers, "/lookups/a", { id: "first" })).body).toBe("bunk1");
+    const second = await call(entry.callers, "/lookups/a", { id: "second" });
+    expect(second.body).toBe("bunk3");
+});
+
+test("answer before the body is read", async () => {
+    // A replica answers a long body early and reads on. Whatever goes out on this connection next must come behind the whole
+    // body, or the replica takes the next request's bytes for the rest of this one.
+    const body = "x".repeat(19_000);
+    expect((await call(entry.callers, "/lookups/a", { id: "first", body })).status).toBe(200);
+    expect((await call(entry.callers, "/lookups/b", { id: "second", body: "short" })).status).toBe(200);
+    expect(site.replicas.get("i-1")!.arrivals.map(({ body: got }) => got)).toEqual([body, "short"]);
+});
--- /dev/null
+++ b/__tests__/forwarding/budgets.test.ts
@@ -0,0 +1,57 @@
+/** Budgets hold over all entries together. */
+import { expect, test } from "vitest";
+import { ColdBudget } from "../../src/core/budgets/coldBudget.js";
+import { RepeatBudget } from "../../src/core/budgets/repeatBudget.js";
+import type { Clock } from "../../src/utils/clock.js";
+
+const fakeClock = () => {
+    const clock = { time: 0, now: () => clock.time, wallTime: () => clock.time, sleep: () => Promise.resolve() };
+    return clock satisfies Clock;
+};
+
+test("repeats of all entries stay within the allowance", () => {
+    // All endpoints fail at once and every request asks to be sent again. Without a budget the sends double.
+    const clock = fakeClock();
+    const budgets = Array.from(
+        { length: 6 },
+        () => new RepeatBudget(clock, { share: 0.2, window: 10_000, extra: 100 }, () => 6),
+    );
+    let repeats = 0;
+    let requests = 0;
+    for (clock.time = 0; clock.time < 10_000; clock.time += 10) {
+        const budget = budgets[(clock.time / 10) % 6]!;
+        budget.request("models");
+        requests++;
+        repeats += budget.take("models") ? 1 : 0;
+    }
+    expect(repeats).toBeGreaterThan(0.7 * (0.2 * requests + 100));
+    expect(repeats).toBeLessThanOrEqual(0.2 * requests + 100);
+});
+
+test("budget comes back with time", () => {
+    const clock = fakeClock();
+    const budget = new RepeatBudget(clock, { share: 0, window: 10_000, extra: 10 }, () => 1);
+    let taken = 0;
+    while (budget.take("s")) {
+        taken++;
+    }
+    expect(taken).toBe(8);
+    clock.time = 10_001;
+    expect(budget.take("s")).toBe(true);
+});
+
+test("cold endpoint gets its rate from all entries together", () => {
+    const clock = fakeClock();
+    const budgets = Array.from({ length: 9 }, () => new ColdBudget(clock, { factor: 1.5, extra: 5 }, () => 9));
+    let sent = 0;
+    for (clock.time = 0; clock.time < 1_000; clock.time++) {
+        for (const budget of budgets) {
+            if (budget.allows("e", 26)) {
+                budget.note("e");
+                sent++;
+            }
+        }
+    }
+    expect(sent).toBeGreaterThan(20);
+    expect(sent).toBeLessThanOrEqual(26 * 1.5 + 5);
+});
--- /dev/null
+++ b/__tests__/forwarding/configuration.test.ts
@@ -0,0 +1,201 @@
+/** Configuration, endpoints and outs as they come from the store, while it is away, slow, deaf or forgetful. */
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { Refusal } from "../../platform/standins/storeServer.js";
+import { configurationOf, endpointOf } from "../../platform/storedObjects.js";
+import type { ForwardingEntry } from "../../src/adapters/forwarding/forwardingEntry.js";
+import { ActiveConfiguration } from "../../src/core/configuration/activeConfiguration.js";
+import { systemClock } from "../../src/utils/clock.js";
+import { call, operatorConfiguration, Site, until } from "./support/site.js";
+
+let site: Site;
+
+beforeEach(async () => {
+    site = new Site();
+    await site.replica("i-1", "bookings");
+    site.configure(1);
+});
+
+afterEach(() => site.close());
+
+const onlyUsable = (entry: ForwardingEntry, id: string): boolean => {
+    const usable = entry.directory.usable("bookings");
+    return usable.length === 1 && usable[0]!.record.id === id;
+};
+
+test("change reaches an entry by its watch", async () => {
+    const { entry } = await site.start("entry-1");
+    site.configure(2);
+    await until(() => entry.configuration.version === 2);
+});
+
+test("no call while nothing changes but the watches", async () => {
+    const { door } = await site.start("entry-1");
+    await systemClock.sleep(200);
+    const before = door.calls;
+    await systemClock.sleep(700);
+    expect(door.calls - before).toBeLessThanOrEqual(3);
+});
+
+test("lost history", async () => {
+    // The store drops its history while an entry's watch is cut. The entry can't learn what changed meanwhile from a watch,
+    // and would serve an old configuration for good.
+    const { entry, door } = await site.start("entry-1");
+    door.refusal = Refusal.Reset;
+    await systemClock.sleep(1_300);
+    site.configure(2);
+    site.store.model.forget();
+    door.refusal = Refusal.None;
+    await until(() => entry.configuration.version === 2);
+});
+
+for (const refusal of [Refusal.Busy, Refusal.TooMany, Refusal.Reset]) {
+    test(`entry turned away by the store: ${refusal}`, async () => {
+        const { entry, door, callers } = await site.start("entry-1");
+        door.refusal = refusal;
+        await systemClock.sleep(1_300);
+        site.configure(2);
+        expect(entry.ready).toBe(true);
+        expect((await call(callers, "/lookups/a")).status).toBe(200);
+        door.refusal = Refusal.None;
+        await until(() => entry.configuration.version === 2);
+    });
+}
+
+test("watch on a silent connection", async () => {
+    // A connection to the store falls silent for good while new ones work. Nothing says so, and a watch without a bound of
+    // its own would wait for ever.
+    const { entry, door } = await site.start("entry-1");
+    door.refusal = Refusal.Silent;
+    await systemClock.sleep(1_400);
+    door.refusal = Refusal.None;
+    site.configure(2);
+    await until(() => entry.configuration.version === 2);
+});
+
+test("store down at the start", async () => {
+    const started = site.start("entry-1", false);
+    site.entries.forEach(({ door }) => door.refusal = Refusal.Busy);
+    const { entry, door } = await started;
+    door.refusal = Refusal.Busy;
+    await systemClock.sleep(300);
+    door.refusal = Refusal.None;
+    await until(() => entry.ready);
+});
+
+test("lower version is never taken", () => {
+    // A list that was under way when a watch brought a newer version ends after it. Taking it would bring back routes and
+    // keys that were taken away.
+    const configuration = new ActiveConfiguration();
+    expect(configuration.adopt(configurationOf(operatorConfiguration(5))!)).toBe(true);
+    expect(configuration.adopt(configurationOf(operatorConfiguration(4))!)).toBe(false);
+    expect(configuration.adopt(configurationOf(operatorConfiguration(5))!)).toBe(false);
+    expect(configuration.version).toBe(5);
+});
+
+test("route and key taken away", async () => {
+    const { entry, callers } = await site.start("entry-1");
+    const configuration = operatorConfiguration(2);
+    configuration.tenants = [{ name: "south", api_keys: ["another"] }];
+    site.store.model.put("config", "main", configuration);
+    await until(() => entry.configuration.version === 2);
+    expect((await call(callers, "/lookups/a")).status).toBe(401);
+});
+
+test("draining endpoint gets nothing new", async () => {
+    const { entry, callers } = await site.start("entry-1");
+    const other = await site.replica("i-2", "bookings");
+    site.record("i-1", { state: "draining" });
+    await until(() => onlyUsable(entry, "i-2"));
+    const before = site.replicas.get("i-1")!.arrivals.length;
+    for (let index = 0; index < 5; index++) {
+        await call(callers, "/lookups/a");
+    }
+    expect(other.arrivals).toHaveLength(5);
+    expect(site.replicas.get("i-1")!.arrivals).toHaveLength(before);
+});
+
+test("data centre out gets nothing new", async () => {
+    const { entry, callers } = await site.start("entry-1");
+    const other = await site.replica("i-2", "bookings", "north-b");
+    site.store.model.put("evacuations", "north-a", {});
+    await until(() => onlyUsable(entry, "i-2"));
+    for (let index = 0; index < 5; index++) {
+        await call(callers, "/lookups/a");
+    }
+    expect(other.arrivals).toHaveLength(5);
+    site.store.model.remove("evacuations", "north-a");
+    await until(() => entry.directory.usable("bookings").length === 2);
+});
+
+test("removed endpoint is dropped at once", async () => {
+    const { entry } = await site.start("entry-1");
+    site.store.model.remove("servers", "i-1");
+    await until(() => entry.directory.usable("bookings").length === 0);
+});
+
+test("records that lapsed while the store was away", async () => {
+    // Endpoints can't renew their records while the store is down, and the records lapse. Dropping them at its return would
+    // leave no endpoint at all until each has written again.
+    const { entry, door } = await site.start("entry-1");
+    const record = site.store.model.get("servers", "i-1")!.value as object;
+    door.refusal = Refusal.Busy;
+    await systemClock.sleep(1_300);
+    site.store.model.remove("servers", "i-1");
+    door.refusal = Refusal.None;
+    await systemClock.sleep(600);
+    expect(entry.directory.usable("bookings")).toHaveLength(1);
+    site.store.model.put("servers", "i-1", record);
+    await systemClock.sleep(2_000);
+    expect(entry.directory.usable("bookings")).toHaveLength(1);
+    site.store.model.remove("servers", "i-1");
+    await until(() => entry.directory.usable("bookings").length === 0);
+});
+
+test("lapsed record that doesn't come back", async () => {
+    const { entry, door } = await site.start("entry-1");
+    door.refusal = Refusal.Busy;
+    await systemClock.sleep(1_300);
+    site.store.model.remove("servers", "i-1");
+    door.refusal = Refusal.None;
+    await until(() => entry.directory.usable("bookings").length === 0);
+});
+
+test("records that can't be read name no endpoint", () => {
+    const record = { service: "s", address: "10.0.0.1:80", zone: "a", slots: 2, state: "ready", cold_remaining_ms: 0 };
+    expect(endpointOf("i", record)).toMatchObject({ service: "s", incarnation: 0 });
+    for (
+        const fault of [{ slots: "2" }, { state: "asleep" }, { address: 7 }, { cold_remaining_ms: undefined }, {
+            zone: {},
+        }]
+    ) {
+        expect(endpointOf("i", { ...record, ...fault })).toBeUndefined();
+    }
+    expect(endpointOf("i", "bytes")).toBeUndefined();
+});
+
+test("lost answer to a write", async () => {
+    // The store takes an entry's own record and its answer is lost. The entry writes again, and must not take its own record
+    // for somebody else's.
+    const door = await site.store.door();
+    door.losesAnswers = true;
+    const { StoreClient } = await import("../../platform/storeClient.js");
+    const client = new StoreClient(door.address, systemClock);
+    const { signal } = new AbortController();
+    await expect(client.announce("entry-9", { address: "127.0.0.1:9" }, signal)).rejects.toThrow();
+    door.losesAnswers = false;
+    await client.announce("entry-9", { address: "127.0.0.1:9" }, signal);
+    expect(site.store.model.get("entries", "entry-9")?.value).toEqual({ address: "127.0.0.1:9" });
+});
+
+test("conditional write", () => {
+    const { model } = site.store;
+    expect(model.create("entries", "a", 1).type).toBe("Written");
+    expect(model.create("entries", "a", 2).type).toBe("Conflict");
+    const { revision } = model.get("entries", "a")!;
+    expect(model.replace("entries", "a", 2, revision).type).toBe("Written");
+    expect(model.replace("entries", "a", 3, revision).type).toBe("Conflict");
+    expect(model.replace("entries", "b", 3, undefined).type).toBe("Missing");
+    const unchanged = model.currentRevision;
+    model.replace("entries", "a", 2, undefined);
+    expect(model.currentRevision).toBe(unchanged);
+});
--- /dev/null
+++ b/__tests__/forwarding/requests.test.ts
@@ -0,0 +1,303 @@
+/** Requests through a whole site on loopback: routes, keys, kinds, times and streams. */
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { call, eventIds, generation, operatorConfiguration, Site, until } from "./support/site.js";
+
+let site: Site;
+
+beforeEach(() => {
+    site = new Site();
+});
+
+afterEach(() => site.close());
+
+const bookings = async () => {
+    const replica = await site.replica("i-1", "bookings");
+    site.configure(1);
+    return { replica, entry: await site.start("entry-1") };
+};
+
+const models = async () => {
+    const first = await site.replica("m-1", "models");
+    const second = await site.replica("m-2", "models");
+    site.configure(1);
+    return { first, second, entry: await site.start("entry-1") };
+};
+
+test("request arrives unchanged", async () => {
+    const { replica, entry } = await bookings();
+    const answer = await call(entry.callers, "/places/bunk/7%2F8?week=3&x=%20", {
+        id: "r-1",
+        body: "a bunk",
+        headers: { "x-camp": "north", "dandelionramp-tenant": "forged", connection: "x-drop", "x-drop": "1" },
+    });
+    expect(answer.status).toBe(200);
+    expect(answer.headers["dandelionramp-response-signature"]).toBe("signed-by-i-1");
+    const [arrival] = replica.arrivals;
+    expect(arrival).toMatchObject({
+        id: "r-1",
+        method: "POST",
+        target: "/places/bunk/7%2F8?week=3&x=%20",
+        body: "a bunk",
+    });
+    expect(arrival!.headers).toMatchObject({
+        host: "desk.example",
+        "x-camp": "north",
+        "dandelionramp-tenant": "north",
+    });
+    expect(arrival!.headers["dandelionramp-expect-instance"]).toBe("i-1");
+    expect(arrival!.headers.authorization).toBeUndefined();
+    expect(arrival!.headers["x-drop"]).toBeUndefined();
+});
+
+test("time left is handed on", async () => {
+    const { replica, entry } = await bookings();
+    await call(entry.callers, "/lookups/a", { headers: { "dandelionramp-deadline-ms": "700" } });
+    const handed = Number(replica.arrivals[0]!.headers["dandelionramp-deadline-ms"]);
+    expect(handed).toBeGreaterThan(300);
+    expect(handed).toBeLessThanOrEqual(700);
+});
+
+test("route's timeout bounds what is handed on", async () => {
+    const { replica, entry } = await bookings();
+    await call(entry.callers, "/lookups/a", { headers: { "dandelionramp-deadline-ms": "60000" } });
+    expect(Number(replica.arrivals[0]!.headers["dandelionramp-deadline-ms"])).toBeLessThanOrEqual(2_000);
+});
+
+test("answer at the route's timeout", async () => {
+    // A replica takes a request and never answers. The caller must hear of it when the route's time is over, not when its
+    // own patience ends.
+    const { replica, entry } = await bookings();
+    replica.fault = () => true;
+    site.configure(2, { lookups: { timeout_ms: 300 } });
+    await until(() => entry.entry.configuration.version === 2);
+    const answer = await call(entry.callers, "/lookups/a", { headers: { "dandelionramp-deadline-ms": "5000" } });
+    expect(answer.status).toBe(504);
+    expect(answer.took).toBeLessThan(800);
+    await until(() => replica.cancelled.length === 1);
+});
+
+test("shares of a split", async () => {
+    const first = await site.replica("i-1", "bookings");
+    const second = await site.replica("j-1", "bookings-new");
+    const split = {
+        lookups: {
+            service: undefined,
+            traffic_split: [{ service: "bookings", weight: 1 }, { service: "bookings-new", weight: 3 }],
+        },
+    };
+    const configuration = operatorConfiguration(1, split);
+    configuration.services.push({ name: "bookings-new", health_path: "/healthz", max_connections: 96, cold_per_s: 0 });
+    site.store.model.put("config", "main", configuration);
+    const entry = await site.start("entry-1");
+    for (let index = 0; index < 40; index++) {
+        await call(entry.callers, "/lookups/a", { method: "GET" });
+    }
+    expect(first.arrivals.length + second.arrivals.length).toBe(40);
+    expect(second.arrivals.length).toBeGreaterThan(20);
+    expect(first.arrivals.length).toBeGreaterThan(3);
+});
+
+test("busy endpoint's word sends a booking elsewhere", async () => {
+    const { replica, entry } = await bookings();
+    const other = await site.replica("i-2", "bookings");
+    await until(() => entry.entry.directory.usable("bookings").length === 2);
+    for (const busy of [replica, other]) {
+        busy.fault = ({ id }, response) => {
+            if (replica.arrivals.length + other.arrivals.length > 1) {
+                return false;
+            }
+            response.writeHead(503, { "dandelionramp-request-id": id, "dandelionramp-not-executed": "1" }).end();
+            return true;
+        };
+    }
+    const answer = await call(entry.callers, "/pairs/a", { id: "r-1" });
+    expect(answer.status).toBe(200);
+    expect(site.runs("r-1")).toBe(1);
+});
+
+test("busy endpoints make an honest refusal", async () => {
+    const { replica, entry } = await bookings();
+    replica.fault = ({ id }, response) => {
+        response.writeHead(503, { "dandelionramp-request-id": id, "dandelionramp-not-executed": "1" }).end();
+        return true;
+    };
+    const answer = await call(entry.callers, "/places/a", { id: "r-1" });
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
+    expect(JSON.parse(answer.body)).toMatchObject({ execution: "not-run", requestId: "r-1" });
+    expect(replica.arrivals).toHaveLength(1);
+});
+
+test("booking isn't sent again after a broken answer", async () => {
+    // The replica books the place and dies before its answer is out. A second send would charge the family twice.
+    const { replica, entry } = await bookings();
+    await site.replica("i-2", "bookings");
+    await until(() => entry.entry.directory.usable("bookings").length === 2);
+    for (const each of site.replicas.values()) {
+        each.fault = ({ id }, response) => {
+            each.ran(id);
+            response.socket?.destroy();
+            return true;
+        };
+    }
+    const answer = await call(entry.callers, "/pairs/a", { id: "r-1" });
+    expect(answer.status).toBe(502);
+    expect(JSON.parse(answer.body)).toMatchObject({ execution: "unknown" });
+    expect(site.runs("r-1")).toBe(1);
+    expect(replica.arrivals.length).toBeLessThanOrEqual(1);
+});
+
+test("lookup goes to another endpoint after a broken answer", async () => {
+    const { replica, entry } = await bookings();
+    const other = await site.replica("i-2", "bookings");
+    await until(() => entry.entry.directory.usable("bookings").length === 2);
+    let broken = 0;
+    for (const each of [replica, other]) {
+        each.fault = (...[, response]) => {
+            broken++;
+            if (broken > 1) {
+                return false;
+            }
+            response.socket?.destroy();
+            return true;
+        };
+    }
+    expect((await call(entry.callers, "/lookups/a", { method: "GET" })).status).toBe(200);
+});
+
+test("attempts bound the sends", async () => {
+    const { entry } = await bookings();
+    for (const id of ["i-2", "i-3", "i-4"]) {
+        await site.replica(id, "bookings");
+    }
+    await until(() => entry.entry.directory.usable("bookings").length === 4);
+    for (const each of site.replicas.values()) {
+        each.fault = (...[, response]) => {
+            response.socket?.destroy();
+            return true;
+        };
+    }
+    expect((await call(entry.callers, "/lookups/a", { method: "GET" })).status).toBe(502);
+    const arrivals = [...site.replicas.values()].reduce((sum, replica) => sum + replica.arrivals.length, 0);
+    expect(arrivals).toBe(2);
+});
+
+test("endpoint's own failure is passed on", async () => {
+    const { replica, entry } = await bookings();
+    replica.fault = ({ id }, response) => {
+        response.writeHead(500, replica.answerHeaders(id)).end("no bunk");
+        return true;
+    };
+    const answer = await call(entry.callers, "/places/a");
+    expect(answer).toMatchObject({ status: 500, body: "no bunk" });
+    expect(answer.headers["dandelionramp-response-signature"]).toBe("signed-by-i-1");
+});
+
+test("address that changed hands", async () => {
+    // A replica has ended and its address belongs to another one. The listed identity goes along with each request, so the
+    // newcomer refuses, and the request finds a living replica.
+    const { entry } = await bookings();
+    const other = await site.replica("i-2", "bookings");
+    site.record("i-1", { address: other.address });
+    await until(() => entry.entry.directory.get("i-1")?.record.address === other.address);
+    for (let index = 0; index < 6; index++) {
+        expect((await call(entry.callers, "/places/a", { id: `r-${index}` })).status).toBe(200);
+        expect(site.runs(`r-${index}`)).toBe(1);
+    }
+});
+
+test("stream passes event by event", async () => {
+    const { entry } = await models();
+    const answer = await call(entry.callers, "/replies/a", { headers: generation(1_000, 40) });
+    expect(answer).toMatchObject({ status: 200, whole: true });
+    expect(eventIds(answer.body)).toEqual([1, 2, 3, 4, 5, 6, 7, 8, 9, 10]);
+});
+
+test("caller resumes a stream", async () => {
+    const { entry } = await models();
+    const headers = { ...generation(1_000, 40), "last-event-id": "6" };
+    const answer = await call(entry.callers, "/replies/a", { headers });
+    expect(eventIds(answer.body)).toEqual([7, 8, 9, 10]);
+});
+
+test("broken stream goes on elsewhere", async () => {
+    // A replica dies in the middle of an event. The caller's answer goes on at another replica behind the last whole event:
+    // no gap, no repeat, no half event.
+    const { first, second, entry } = await models();
+    for (const replica of [first, second]) {
+        replica.fault = ({ id, headers }, response) => {
+            if (headers["last-event-id"] !== undefined) {
+                return false;
+            }
+            response.writeHead(200, { ...replica.answerHeaders(id), "content-type": "text/event-stream" });
+            response.write("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+            setTimeout(() => response.destroy(), 30);
+            return true;
+        };
+    }
+    const answer = await call(entry.callers, "/replies/a", { id: "r-1", headers: generation(1_000, 20) });
+    expect(answer).toMatchObject({ status: 200, whole: true });
+    expect(eventIds(answer.body)).toEqual([1, 2, 3, 4, 5]);
+    expect(first.arrivals.length + second.arrivals.length).toBe(2);
+});
+
+test("broken stream that can't go on looks broken", async () => {
+    const { first, second, entry } = await models();
+    for (const replica of [first, second]) {
+        replica.fault = ({ id }, response) => {
+            response.writeHead(200, { ...replica.answerHeaders(id), "content-type": "text/event-stream" });
+            response.write("id: 1\ndata: a\n\n");
+            setTimeout(() => response.destroy(), 30);
+            return true;
+        };
+    }
+    const answer = await call(entry.callers, "/once/a", { headers: generation(1_000, 20) });
+    expect(answer.whole).toBe(false);
+    expect(eventIds(answer.body)).toEqual([1]);
+    expect(first.arrivals.length + second.arrivals.length).toBe(1);
+});
+
+test("events that come again aren't passed on", async () => {
+    // A faulty replica answers a resumed stream from its beginning. Passing that on would give the caller events twice.
+    const { first, second, entry } = await models();
+    for (const replica of [first, second]) {
+        replica.fault = ({ id }, response) => {
+            response.writeHead(200, { ...replica.answerHeaders(id), "content-type": "text/event-stream" });
+            response.write("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            setTimeout(() => response.destroy(), 30);
+            return true;
+        };
+    }
+    const answer = await call(entry.callers, "/replies/a", { headers: generation(1_000, 20) });
+    expect(eventIds(answer.body)).toEqual([1, 2]);
+    expect(answer.whole).toBe(false);
+});
+
+test("caller who leaves cancels the work", async () => {
+    const { first, second, entry } = await models();
+    const leaving = new AbortController();
+    const left = call(entry.callers, "/replies/a", { headers: generation(1_000, 40_000), signal: leaving.signal })
+        .catch(() => undefined);
+    await until(() => first.runs.size + second.runs.size === 1);
+    leaving.abort();
+    await left;
+    await until(() => first.cancelled.length + second.cancelled.length === 1);
+    await until(() => [...site.engines.values()].every(engine => engine.active === 0));
+});
+
+test("long prompt is read by several", async () => {
+    const slow = { readTokensPerSecond: 40_000 };
+    const { quickEngine } = await import("./support/site.js");
+    for (const id of ["m-1", "m-2", "m-3"]) {
+        await site.replica(id, "models", "north-a", { ...quickEngine, ...slow });
+    }
+    const configuration = operatorConfiguration(1);
+    configuration.services[1]!.engine!.read_per_s = slow.readTokensPerSecond;
+    site.store.model.put("config", "main", configuration);
+    const entry = await site.start("entry-1");
+    await until(() => entry.entry.directory.usable("models").length === 3);
+    const answer = await call(entry.callers, "/replies/a", { headers: generation(60_000, 8) });
+    expect(eventIds(answer.body)).toEqual([1, 2]);
+    const arrival = [...site.replicas.values()].flatMap(replica => replica.arrivals)[0]!;
+    expect(arrival.headers["dandelionramp-helpers"]!.split(",").length).toBe(1);
+});
--- /dev/null
+++ b/__tests__/forwarding/stop.test.ts
@@ -0,0 +1,73 @@
+/** Planned stops cut nothing, and an entry says in time that it leaves. */
+import http from "node:http";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { call, eventIds, generation, Site, until } from "./support/site.js";
+
+let site: Site;
+
+beforeEach(async () => {
+    site = new Site();
+    await site.replica("m-1", "models");
+    await site.replica("i-1", "bookings");
+    site.configure(1);
+});
+
+afterEach(() => site.close());
+
+const readiness = (address: string): Promise<number> =>
+    new Promise((resolve, reject) => {
+        http.get(`http://${address}/`, response => {
+            response.resume();
+            resolve(response.statusCode ?? 0);
+        }).on("error", reject);
+    });
+
+test("stopping entry isn't ready and still serves", async () => {
+    // The balancer sends callers for two seconds more. Refusing them, or closing the port, would cut requests.
+    const { entry, callers, readiness: address } = await site.start("entry-1");
+    expect(await readiness(address)).toBe(200);
+    const stopped = entry.stop();
+    expect(await readiness(address)).toBe(503);
+    const answer = await call(callers, "/lookups/a");
+    expect(answer.status).toBe(200);
+    expect(answer.headers.connection).toBe("close");
+    await stopped;
+    await expect(call(callers, "/lookups/a")).rejects.toThrow();
+});
+
+test("stream in progress ends whole", async () => {
+    site.configure(2, { replies: { timeout_ms: 6_000 } });
+    const { entry, callers } = await site.start("entry-1");
+    const headers = { ...generation(1_000, 1_600), "dandelionramp-deadline-ms": "6000" };
+    const answer = call(callers, "/replies/a", { headers });
+    await until(() => site.replicas.get("m-1")!.runs.size === 1);
+    const begun = Date.now();
+    await entry.stop();
+    expect(Date.now() - begun).toBeLessThan(3_800);
+    const { body, whole } = await answer;
+    expect(whole).toBe(true);
+    expect(eventIds(body)).toHaveLength(400);
+});
+
+test("kept connection is closed after its next answer", async () => {
+    const { entry, callers } = await site.start("entry-1");
+    const agent = new http.Agent({ keepAlive: true });
+    const ask = (): Promise<string | undefined> =>
+        new Promise((resolve, reject) => {
+            const headers = {
+                host: "desk.example",
+                "dandelionramp-request-id": "r",
+                authorization: "Bearer key-of-north",
+            };
+            const [host, port] = callers.split(":");
+            http.get({ host, port, path: "/lookups/a", agent, headers }, response => {
+                response.resume();
+                response.on("end", () => resolve(response.headers.connection));
+            }).on("error", reject);
+        });
+    expect(await ask()).toBe("keep-alive");
+    const stopped = entry.stop();
+    expect(await ask()).toBe("close");
+    await stopped;
+    agent.destroy();
+});
--- /dev/null
+++ b/__tests__/forwarding/support/site.ts
@@ -0,0 +1,297 @@
+/** A small site on loopback: the store, replicas and entries as they run, in one process. */
+import http from "node:http";
+import net from "node:net";
+import { platformWire } from "../../../platform/forwardingWire.js";
+import { ReplicaServer } from "../../../platform/standins/replicaServer.js";
+import { type StoreDoor, StoreServer } from "../../../platform/standins/storeServer.js";
+import { StoreClient } from "../../../platform/storeClient.js";
+import type { ForwardingSettings } from "../../../src/adapters/forwarding/entrySettings.js";
+import { ForwardingEntry } from "../../../src/adapters/forwarding/forwardingEntry.js";
+import { PassEngine } from "../../../src/standins/passEngineModel.js";
+import type { EngineProfile } from "../../../src/types/routing.js";
+import { systemClock } from "../../../src/utils/clock.js";
+import { LogLevel, type PartLog } from "../../../src/utils/log.js";
+import { seededRandom } from "../../../src/utils/random.js";
+
+/** An engine quick enough for tests: a pass of one writer takes 4 ms. */
+export const quickEngine: EngineProfile = {
+    slots: 4,
+    memoryTokens: 100_000,
+    stepTime: 1,
+    stepTimePerRequest: 0.05,
+    stepTimePerThousandTokens: 0.01,
+    readTokensPerSecond: 1_000_000,
+    readTimePerMillionPairs: 0.01,
+    chunkTokens: 2_048,
+    stepsPerPass: 4,
+    hopTime: 0.1,
+};
+
+const wireEngine = (engine: EngineProfile) => ({
+    slots: engine.slots,
+    kv_capacity: engine.memoryTokens,
+    step_ms: engine.stepTime,
+    per_seq_ms: engine.stepTimePerRequest,
+    context_per_k: engine.stepTimePerThousandTokens,
+    read_per_s: engine.readTokensPerSecond,
+    pairs_per_m: engine.readTimePerMillionPairs,
+    chunk: engine.chunkTokens,
+    stride: engine.stepsPerPass,
+    hop_ms: engine.hopTime,
+});
+
+export const callerKey = "key-of-north";
+
+/** Routes of the usual site, as the operator writes them; `changes` replace fields of the named route. */
+export const operatorConfiguration = (version: number, changes: Record<string, object> = {}) => {
+    const route = (name: string, fields: object) => ({
+        name,
+        hostname: "desk.example",
+        timeout_ms: 2_000,
+        target_latency_ms: 300,
+        priority: 1,
+        attempts: 2,
+        public: false,
+        ...fields,
+        ...changes[name],
+    });
+    return {
+        version,
+        routes: [
+            route("lookups", { path_prefix: "/lookups/", kind: "idempotent", service: "bookings" }),
+            route("places", { path_prefix: "/places/", kind: "non_idempotent", service: "bookings", attempts: 1 }),
+            route("pairs", { path_prefix: "/pairs/", kind: "non_idempotent", service: "bookings" }),
+            route("replies", {
+                path_prefix: "/replies/",
+                kind: "streaming",
+                service: "models",
+                resumable: true,
+                target_gap_ms: 200,
+            }),
+            route("once", { path_prefix: "/once/", kind: "streaming", service: "models", target_gap_ms: 200 }),
+        ],
+        services: [
+            { name: "bookings", health_path: "/healthz", max_connections: 96, cold_per_s: 0 },
+            {
+                name: "models",
+                health_path: "/healthz",
+                max_connections: 96,
+                cold_per_s: 20,
+                engine: wireEngine(quickEngine),
+            },
+        ],
+        limits: { max_header_bytes: 4_096, max_body_bytes: 20_000, header_timeout_ms: 500, idle_timeout_ms: 5_000 },
+        tenants: [{ name: "north", api_keys: [callerKey] }],
+    };
+};
+
+/** Lines that the entries logged. */
+export interface LoggedLine {
+    entry: string;
+    message: string;
+    fields: Record<string, unknown>;
+}
+
+/** A running entry of the site. */
+export interface SiteEntry {
+    entry: ForwardingEntry;
+    door: StoreDoor;
+    callers: string;
+    readiness: string;
+}
+
+/** The whole site. */
+export class Site {
+    readonly store = new StoreServer(systemClock);
+    readonly replicas = new Map<string, ReplicaServer>();
+    readonly engines = new Map<string, PassEngine>();
+    readonly entries: SiteEntry[] = [];
+    readonly lines: LoggedLine[] = [];
+
+    /** Adds a replica, listed as ready. */
+    async replica(
+        id: string,
+        service: string,
+        dataCentre = "north-a",
+        engineProfile = quickEngine,
+    ): Promise<ReplicaServer> {
+        const engine = service === "models" ? new PassEngine(engineProfile, systemClock) : undefined;
+        const replica = new ReplicaServer(id, engine, address => this.engineAt(address));
+        await replica.start();
+        if (engine) {
+            this.engines.set(id, engine);
+        }
+        this.replicas.set(id, replica);
+        this.record(id, { service, zone: dataCentre });
+        return replica;
+    }
+
+    /** Writes a replica's record. */
+    record(id: string, fields: object): void {
+        const present = this.store.model.get("servers", id)?.value as object | undefined;
+        this.store.model.put("servers", id, {
+            address: this.replicas.get(id)?.address,
+            version: "v1",
+            slots: 6,
+            state: "ready",
+            cold_remaining_ms: 0,
+            sequence: 1,
+            born: 1,
+            ...present,
+            ...fields,
+        });
+    }
+
+    configure(version: number, changes: Record<string, object> = {}): void {
+        this.store.model.put("config", "main", operatorConfiguration(version, changes));
+    }
+
+    /** Starts an entry; waits until it is ready unless `wait` is false. */
+    async start(id: string, wait = true): Promise<SiteEntry> {
+        const door = await this.store.door();
+        const settings: ForwardingSettings = {
+            instance: { id, dataCentre: "north-a" },
+            listen: { callers: "127.0.0.1:0", readiness: "127.0.0.1:0", peers: "127.0.0.1:0", metrics: "127.0.0.1:0" },
+            store: { address: door.address },
+            repeats: { share: 0.2, windowSeconds: 10, extra: 100 },
+            cold: { factor: 1.5, extra: 5 },
+            stop: { graceSeconds: 4 },
+            log: { level: LogLevel.Info },
+        };
+        const entry = new ForwardingEntry(settings, {
+            clock: systemClock,
+            random: seededRandom(1),
+            store: new StoreClient(door.address, systemClock),
+            wire: platformWire,
+            log: part => this.partLog(id, part),
+        });
+        const running = { entry, door, ...await entry.start() };
+        this.entries.push(running);
+        if (wait) {
+            await until(() => entry.ready);
+        }
+        return running;
+    }
+
+    async close(): Promise<void> {
+        await Promise.all(this.entries.map(({ entry }) => entry.close()));
+        await Promise.all([...this.replicas.values()].map(replica => replica.close()));
+        await this.store.close();
+    }
+
+    /** Runs of a request over all replicas. */
+    runs(requestId: string): number {
+        return [...this.replicas.values()].reduce((sum, replica) => sum + (replica.runs.get(requestId) ?? 0), 0);
+    }
+
+    private engineAt(address: string): PassEngine | undefined {
+        for (const [id, replica] of this.replicas) {
+            if (replica.address === address) {
+                return this.engines.get(id);
+            }
+        }
+        return undefined;
+    }
+
+    private partLog(entry: string, part: string): PartLog {
+        const take = (message: string, fields: Record<string, unknown> = {}) => {
+            this.lines.push({ entry, message: `${part}: ${message}`, fields });
+        };
+        return { info: take, warn: take, error: take };
+    }
+}
+
+/** Waits until `holds`, for three seconds at most. */
+export const until = async (holds: () => boolean): Promise<void> => {
+    const limit = 3_000;
+    for (const begun = Date.now(); !holds();) {
+        if (Date.now() - begun > limit) {
+            throw new Error("what was waited for did not come");
+        }
+        await systemClock.sleep(5);
+    }
+};
+
+/** An answer as a caller gets it. */
+export interface CallerAnswer {
+    status: number;
+    headers: http.IncomingHttpHeaders;
+    body: string;
+    /** Whether the answer was framed as whole. */
+    whole: boolean;
+    took: number;
+}
+
+let nextRequest = 0;
+
+/** What a caller sends beyond the usual. */
+export interface CallerOptions {
+    id?: string;
+    host?: string;
+    method?: string;
+    headers?: Record<string, string>;
+    body?: string;
+    signal?: AbortSignal;
+}
+
+/** Sends a request as a caller does. Rejects only when no answer begins. */
+export const call = (address: string, target: string, options: CallerOptions = {}): Promise<CallerAnswer> =>
+    new Promise((resolve, reject) => {
+        const begun = Date.now();
+        const separator = address.lastIndexOf(":");
+        const request = http.request({
+            host: address.slice(0, separator),
+            port: Number(address.slice(separator + 1)),
+            method: options.method ?? "POST",
+            path: target,
+            agent: false,
+            signal: options.signal,
+            headers: {
+                host: options.host ?? "desk.example",
+                "dandelionramp-request-id": options.id ?? `request-${nextRequest++}`,
+                authorization: `Bearer ${callerKey}`,
+                "dandelionramp-deadline-ms": "2000",
+                ...options.headers,
+            },
+        });
+        request.on("error", reject);
+        request.on("response", response => {
+            const chunks: Buffer[] = [];
+            const finish = (whole: boolean) =>
+                resolve({
+                    status: response.statusCode ?? 0,
+                    headers: response.headers,
+                    body: Buffer.concat(chunks).toString("utf8"),
+                    whole,
+                    took: Date.now() - begun,
+                });
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("end", () => finish(true));
+            response.on("error", () => finish(false));
+        });
+        request.end(options.body ?? "");
+    });
+
+/** Sends bytes as they are, and resolves with all that comes back until the connection closes. */
+export const sendRaw = (address: string, bytes: string, closeAfter = 2_500): Promise<string> =>
+    new Promise(resolve => {
+        const separator = address.lastIndexOf(":");
+        const socket = net.connect(Number(address.slice(separator + 1)), address.slice(0, separator));
+        let text = "";
+        socket.on("data", chunk => {
+            text += chunk.toString("latin1");
+        });
+        socket.on("error", () => {});
+        socket.on("close", () => resolve(text));
+        socket.write(bytes, "latin1");
+        setTimeout(() => socket.destroy(), closeAfter).unref();
+    });
+
+/** Headers of a generation. */
+export const generation = (promptTokens: number, answerTokens: number): Record<string, string> => ({
+    "dandelionramp-token-count": `${promptTokens},${answerTokens}`,
+    "dandelionramp-model": "m",
+});
+
+/** Identifiers of the events in a stream's body. */
+export const eventIds = (body: string): number[] => [...body.matchAll(/^id: (\d+)$/gm)].map(found => Number(found[1]));
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,10 +1,10 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/", "node_modules/"] },
+    { ignores: ["dist/", "node_modules/", "target/"] },
     ...tseslint.configs.recommended,
     {
-        files: ["src/**/*.ts", "__tests__/**/*.ts"],
+        files: ["src/**/*.ts", "platform/**/*.ts", "__tests__/**/*.ts"],
         languageOptions: { parserOptions: { project: "./tsconfig.json" } },
         rules: {
             "@typescript-eslint/no-floating-promises": "error",
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -1,11 +1,12 @@
 /** The port for forwarded requests: reads callers' requests and writes their answers over Node's `http`. */
 import http from "node:http";
-import type { Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { match } from "ts-pattern";
 import type { RouteTable } from "../../core/configuration/routeTable.js";
 import { Execution, FailureKind, RequestFailure } from "../../core/failures.js";
 import type { AnswerHead, CallerExchange, CallerHead } from "../../ports/forwardingPorts.js";
-import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { BodyTooSlowError, collectBody } from "../../utils/bodies.js";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { BodyTooLargeError, DandelionrampError, describeError } from "../../utils/errors.js";
 import { headerBytes } from "../../utils/headers.js";
 import type { PartLog } from "../../utils/log.js";
@@ -56,14 +57,15 @@
         });
     }
 
-    /** Listens on `host:port`; resolves with the real port. Rejects when the address can't be had. */
-    listen(address: string): Promise<number> {
+    /** Listens on `host:port`; resolves with the real address. Rejects when it can't be had. */
+    listen(address: string): Promise<string> {
         const separator = address.lastIndexOf(":");
+        const host = address.slice(0, separator);
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), () => {
+            this.server.listen(Number(address.slice(separator + 1)), host, () => {
                 this.server.off("error", reject);
-                resolve((this.server.address() as { port: number; }).port);
+                resolve(`${host}:${(this.server.address() as AddressInfo).port}`);
             });
         });
     }
@@ -268,13 +270,8 @@
     );
 };
 
-const kindOfUnread = (code: string | undefined): FailureKind => {
-    switch (code) {
-        case "HPE_HEADER_OVERFLOW":
-            return FailureKind.HeadersTooLarge;
-        case "ERR_HTTP_REQUEST_TIMEOUT":
-            return FailureKind.RequestTooSlow;
-        default:
-            return FailureKind.BadRequest;
-    }
-};
+const kindOfUnread = (code: string | undefined): FailureKind =>
+    match(code)
+        .with("HPE_HEADER_OVERFLOW", () => FailureKind.HeadersTooLarge)
+        .with("ERR_HTTP_REQUEST_TIMEOUT", () => FailureKind.RequestTooSlow)
+        .otherwise(() => FailureKind.BadRequest);
--- a/src/adapters/forwarding/endpointAgent.ts
+++ b/src/adapters/forwarding/endpointAgent.ts
@@ -1,7 +1,7 @@
 /** Connections to endpoints that are kept for later requests, and watched while they wait. */
 import http from "node:http";
-import type { Duplex } from "node:stream";
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import type { Milliseconds } from "../../utils/clock.js";
 
 /** How long a connection may wait for its next request. Endpoints close idle ones after a few seconds at the least. */
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -7,9 +7,10 @@
 import { EndpointDirectory } from "../../core/membership/endpointDirectory.js";
 import { Peers } from "../../core/membership/peers.js";
 import { FailureView } from "../../core/placement/failureView.js";
-import { LoadView } from "../../core/placement/loadView.js";
+import { type EndpointLoad, LoadView } from "../../core/placement/loadView.js";
 import { Placer } from "../../core/placement/placer.js";
 import { SharedLoads } from "../../core/placement/sharedLoads.js";
+import type { PeerIdentity } from "../../ports/peerNewsPort.js";
 import { StateKind, type StatePort } from "../../ports/statePort.js";
 import type { RoutingConfiguration } from "../../types/routing.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
@@ -53,6 +54,8 @@
     readonly directory: EndpointDirectory;
     readonly forwarder: Forwarder;
     private readonly callers: CallerPort;
+    private readonly loads: SharedLoads;
+    private readonly self: PeerIdentity;
     private readonly peers: Peers;
     private readonly peerSocket: PeerSocket;
     private readonly log: PartLog;
@@ -63,11 +66,13 @@
     constructor(private readonly settings: ForwardingSettings, private readonly parts: ForwardingEntryParts) {
         const { clock, random, wire, log } = parts;
         this.log = log("entry");
+        const { instance, listen } = settings;
+        this.self = { id: instance.id, address: listen.peers, incarnation: randomIdentifier(random) };
         this.directory = new EndpointDirectory(clock, log("directory"));
         const failures = new FailureView(clock);
         const view = new LoadView(clock);
         const { repeats, cold } = settings;
-        const loads = new SharedLoads(view);
+        this.loads = new SharedLoads(view);
         const entries = () => entriesAssumed;
         this.forwarder = new Forwarder({
             clock,
@@ -77,7 +82,7 @@
             directory: this.directory,
             endpoints: new EndpointClient(wire, clock),
             placer: new Placer(view, failures),
-            loads,
+            loads: this.loads,
             failures,
             repeats: new RepeatBudget(
                 clock,
@@ -93,12 +98,8 @@
             clock,
             log: log("peers"),
             channel: this.peerSocket,
-            loads,
-            self: {
-                id: settings.instance.id,
-                address: settings.listen.peers,
-                incarnation: randomIdentifier(random),
-            },
+            loads: this.loads,
+            self: this.self,
             inProgress: () => this.forwarder.inProgress,
         });
         this.callers = new CallerPort({
@@ -117,19 +118,24 @@
         return this.forwarder.ready && !this.stopping;
     }
 
-    /** Starts listening and following the store; resolves with the callers' port. */
-    async start(): Promise<number> {
+    /** What this entry believes to be in progress at an endpoint. */
+    loadOf(endpoint: string): EndpointLoad {
+        return this.loads.load(endpoint);
+    }
+
+    /** Starts listening and following the store; resolves with the real addresses. */
+    async start(): Promise<{ callers: string; readiness: string; }> {
         const { listen, instance } = this.settings;
         this.readiness = await serveReadiness(listen.readiness, () => this.ready);
-        await this.peerSocket.listen(listen.peers);
+        this.self.address = await this.peerSocket.listen(listen.peers);
         this.run("the heartbeat", this.peers.sayAlive(this.ending.signal));
         this.run("the list of entries", this.meetPeers());
         this.follow(StateKind.Configuration, this.configurationSink());
         this.follow(StateKind.Endpoints, this.directory);
         this.follow(StateKind.DataCentresOut, this.directory.out);
-        const port = await this.callers.listen(listen.callers);
-        this.log.info("The entry has started.", { instance: instance.id, callers: listen.callers });
-        return port;
+        const callers = await this.callers.listen(listen.callers);
+        this.log.info("The entry has started.", { instance: instance.id, callers });
+        return { callers, readiness: this.readiness.address };
     }
 
     /**
@@ -142,7 +148,7 @@
         const grace = this.settings.stop.graceSeconds * 1_000 - stopMargin;
         this.stopping = true;
         this.peers.sayStopping();
-        this.run("leaving the list of entries", this.parts.store.withdraw(this.settings.instance.id, this.ending.signal));
+        this.run("leaving the list of entries", this.parts.store.withdraw(this.self.id, this.ending.signal));
         this.log.info("The entry is stopping.", { active: this.forwarder.active });
         await clock.sleep(Math.min(lameDuck, grace));
         while (clock.now() - begun < grace) {
@@ -158,6 +164,9 @@
 
     /** Ends at once and cuts what is left. */
     async close(): Promise<void> {
+        if (this.ending.signal.aborted) {
+            return;
+        }
         this.ending.abort();
         this.peerSocket.close();
         await Promise.all([this.callers.close(), this.readiness?.close()]);
@@ -185,7 +194,7 @@
             let pause = meetRetry;
             try {
                 if (!announced && !this.stopping) {
-                    await store.announce(this.settings.instance.id, { address: this.settings.listen.peers }, signal);
+                    await store.announce(this.self.id, { address: this.self.address }, signal);
                     announced = true;
                 }
                 const { items } = await store.list(StateKind.Entries, signal);
@@ -200,7 +209,9 @@
     }
 
     private configurationSink(): StateSink<RoutingConfiguration> {
-        const take = (items: readonly { name: string; revision: number; value: RoutingConfiguration | undefined; }[]) => {
+        const take = (
+            items: readonly { name: string; revision: number; value: RoutingConfiguration | undefined; }[],
+        ) => {
             for (const { name, revision, value } of items) {
                 if (value && this.configuration.adopt(value)) {
                     this.log.info("A configuration is in force.", { name, revision, version: value.version });
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -1,6 +1,6 @@
 /** Datagrams between entries, as JSON-RPC 2.0 notifications. */
-import dgram from "node:dgram";
 import { JSONRPCClient, type JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
+import dgram from "node:dgram";
 import { z } from "zod";
 import type { PeerMessage, PeerNewsPort } from "../../ports/peerNewsPort.js";
 import { describeError } from "../../utils/errors.js";
@@ -54,14 +54,15 @@
         this.socket.on("error", error => this.noteFailure(error));
     }
 
-    /** Takes datagrams at `host:port`. Rejects when the address can't be had. */
-    listen(address: string): Promise<void> {
+    /** Takes datagrams at `host:port`; resolves with the real address. Rejects when it can't be had. */
+    listen(address: string): Promise<string> {
         const separator = address.lastIndexOf(":");
+        const host = address.slice(0, separator);
         return new Promise((resolve, reject) => {
             this.socket.once("error", reject);
-            this.socket.bind(Number(address.slice(separator + 1)), address.slice(0, separator), () => {
+            this.socket.bind(Number(address.slice(separator + 1)), host, () => {
                 this.socket.off("error", reject);
-                resolve();
+                resolve(`${host}:${this.socket.address().port}`);
             });
         });
     }
--- a/src/core/configuration/followState.ts
+++ b/src/core/configuration/followState.ts
@@ -1,5 +1,12 @@
 /** Follows one kind of stored objects: a list, then watches, and a list again whenever the watch can't tell. */
-import { HistoryLostError, StateChanges, StateKind, StatePort, StateSnapshot, StateValues } from "../../ports/statePort.js";
+import {
+    HistoryLostError,
+    StateChanges,
+    StateKind,
+    StatePort,
+    StateSnapshot,
+    StateValues,
+} from "../../ports/statePort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { describeError } from "../../utils/errors.js";
 import type { PartLog } from "../../utils/log.js";
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -38,7 +38,8 @@
 
 /** The work of forwarding one request. */
 export class RequestTask {
-    private readonly tried = new Set<string>();
+    private readonly broken = new Set<string>();
+    private readonly refused = new Set<string>();
     private readonly ending = new AbortController();
     private sends = 0;
     private unreached = 0;
@@ -97,12 +98,14 @@
         switch (outcome.type) {
             case "Unreached":
                 failures.lost(id);
+                this.refused.add(id);
                 this.sends--;
                 this.note("An endpoint can't be reached.", endpoint, { reason: outcome.reason });
                 this.passOver("no endpoint could be reached");
                 return false;
             case "Refused":
                 this.noteRefusal(endpoint, outcome);
+                this.refused.add(id);
                 if (outcome.reason === RefusalReason.WrongEndpoint) {
                     // The address belongs to another endpoint now, so the chosen one was never reached.
                     this.sends--;
@@ -113,6 +116,7 @@
                 return false;
             case "Broken":
                 failures.lost(id);
+                this.broken.add(id);
                 this.mayHaveRun = true;
                 this.note("An endpoint broke off.", endpoint, { reason: outcome.reason });
                 this.sendAgainOrFail(FailureKind.OutcomeUnknown, `the endpoint broke off: ${outcome.reason}`);
@@ -143,6 +147,7 @@
         const failed = head.status >= firstFailureStatus;
         if (failed) {
             this.parts.failures.failed(endpoint.record.id);
+            this.broken.add(endpoint.record.id);
             this.mayHaveRun = true;
             this.note("An endpoint failed.", endpoint, { status: head.status });
             this.kept = { head, body };
@@ -173,6 +178,7 @@
         catch (error) {
             this.checkTime();
             this.parts.failures.lost(endpoint.record.id);
+            this.broken.add(endpoint.record.id);
             this.note("A stream broke off.", endpoint, { lastEvent: this.lastEvent, reason: describeError(error) });
             if (this.begun && this.lastEvent === undefined) {
                 throw error;
@@ -236,7 +242,8 @@
                 targetGap: route.targetGap,
                 targetLeft: route.targetLatency - (clock.now() - this.request.arrivedAt),
                 dataCentre,
-                tried: this.tried,
+                broken: this.broken,
+                refused: this.refused,
             },
             candidates,
         );
@@ -252,7 +259,6 @@
         const { route, customer } = this.admission;
         const { endpoint, helpers } = placement;
         const used = [endpoint, ...helpers].map(({ record }) => record.id);
-        this.tried.add(endpoint.record.id);
         loads.place(this.works(placement));
         cold.note(endpoint.record.id);
         this.note("Sent.", endpoint, {
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -1,5 +1,5 @@
 /** The other entries, as far as this one hears of them, and what it tells them. */
-import type { PeerIdentity, PeerMessage, PeerNews, PeerNewsPort } from "../../ports/peerNewsPort.js";
+import type { PeerIdentity, PeerMessage, PeerNews, PeerNewsPort, TravellingWork } from "../../ports/peerNewsPort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
 import type { PlacedWork } from "../placement/loadView.js";
@@ -141,7 +141,7 @@
             case "Placed": {
                 // Told at once: another entry may be choosing an endpoint in the same millisecond.
                 const now = this.parts.clock.now();
-                const works = news.works.map(({ endsBy, owner: _, ...work }) => ({ ...work, endsIn: endsBy - now }));
+                const works = news.works.map(work => travelling(work, now));
                 this.flush({ type: "Placed", works });
                 return;
             }
@@ -180,3 +180,14 @@
         }
     }
 }
+
+const travelling = (work: PlacedWork, now: Milliseconds): TravellingWork => ({
+    id: work.id,
+    endpoint: work.endpoint,
+    contextTokens: work.contextTokens,
+    readTime: work.readTime,
+    targetGap: work.targetGap,
+    value: work.value,
+    helping: work.helping,
+    endsIn: work.endsBy - now,
+});
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -41,8 +41,10 @@
     targetLeft: Milliseconds;
     /** Data centre of this entry. */
     dataCentre: string;
-    /** Endpoints that this request was sent to already. */
-    tried: ReadonlySet<string>;
+    /** Endpoints that broke off this request; they get it again only when there is no other. */
+    broken: ReadonlySet<string>;
+    /** Endpoints that refused this request or can't be reached. */
+    refused: ReadonlySet<string>;
 }
 
 /** Where a request goes. */
@@ -68,9 +70,9 @@
 
     /** The best endpoint of `candidates`; undefined when there is none. */
     place(need: PlacementNeed, candidates: readonly KnownEndpoint[]): Placement | undefined {
-        const untried = candidates.filter(({ record }) => !need.tried.has(record.id));
-        const rested = untried.filter(({ record }) => !this.failures.resting(record.id));
-        const choice = rested.length > 0 ? rested : untried;
+        const willing = candidates.filter(({ record }) => !need.refused.has(record.id));
+        const untried = anyOr(willing, ({ record }) => !need.broken.has(record.id));
+        const choice = anyOr(untried, ({ record }) => !this.failures.resting(record.id));
         const { engine } = need.service;
         return engine ? this.placeGeneration(need, engine, choice) : this.placeCall(need, choice);
     }
@@ -152,6 +154,15 @@
     return (load.writers > 0 ? pass / 2 : 0) + load.readBacklog + part + pass;
 };
 
+/** Those for which `holds`; all when there is none. */
+const anyOr = (
+    candidates: readonly KnownEndpoint[],
+    holds: (candidate: KnownEndpoint) => boolean,
+): readonly KnownEndpoint[] => {
+    const found = candidates.filter(holds);
+    return found.length > 0 ? found : candidates;
+};
+
 const cheapest = (
     candidates: readonly KnownEndpoint[],
     costOf: (candidate: KnownEndpoint) => number,
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -84,7 +84,12 @@
     /** Not a byte of it was written. */
     | { type: "Unreached"; reason: string; }
     /** The endpoint's own word that it hasn't run and won't. */
-    | { type: "Refused"; reason: RefusalReason; retryAfter: Milliseconds | undefined; coldFor: Milliseconds | undefined; }
+    | {
+        type: "Refused";
+        reason: RefusalReason;
+        retryAfter: Milliseconds | undefined;
+        coldFor: Milliseconds | undefined;
+    }
     /** It may have run; no whole answer came. */
     | { type: "Broken"; reason: string; }
     | { type: "Answered"; head: AnswerHead; body: Buffer; }
