--- a/__performance_tests__/bench.js
+++ b/__performance_tests__/bench.js
@@ -2,8 +2,14 @@
 import { measureOwnPath } from "./ownPath.js";
 import { measureShortBesideLong } from "./shortBesideLong.js";
 import { measureSlopes } from "./slopes.js";
+import { measureStart } from "./start.js";
 
-const measurements = { ownPath: measureOwnPath, slopes: measureSlopes, shortBesideLong: measureShortBesideLong };
+const measurements = {
+    start: measureStart,
+    ownPath: measureOwnPath,
+    slopes: measureSlopes,
+    shortBesideLong: measureShortBesideLong,
+};
 
 const names = process.argv.slice(2);
 for (const [name, measure] of Object.entries(measurements)) {
--- a/__tests__/forwarding/budgets.test.ts
+++ b/__tests__/forwarding/budgets.test.ts
@@ -14,7 +14,7 @@
     const clock = fakeClock();
     const budgets = Array.from(
         { length: 6 },
-        () => new RepeatBudget(clock, { share: 0.2, window: 10_000, extra: 100 }, () => 6),
+        () => new RepeatBudget(clock, () => ({ share: 0.2, window: 10_000, extra: 100 }), () => 6),
     );
     let repeats = 0;
     let requests = 0;
@@ -30,7 +30,7 @@
 
 test("budget comes back with time", () => {
     const clock = fakeClock();
-    const budget = new RepeatBudget(clock, { share: 0, window: 10_000, extra: 10 }, () => 1);
+    const budget = new RepeatBudget(clock, () => ({ share: 0, window: 10_000, extra: 10 }), () => 1);
     let taken = 0;
     while (budget.take("s")) {
         taken++;
@@ -42,7 +42,7 @@
 
 test("cold endpoint gets its rate from all entries together", () => {
     const clock = fakeClock();
-    const budgets = Array.from({ length: 9 }, () => new ColdBudget(clock, { factor: 1.5, extra: 5 }, () => 9));
+    const budgets = Array.from({ length: 9 }, () => new ColdBudget(clock, () => ({ factor: 1.5, extra: 5 }), () => 9));
     let sent = 0;
     for (clock.time = 0; clock.time < 1_000; clock.time++) {
         for (const budget of budgets) {
--- a/__tests__/forwarding/peers.test.ts
+++ b/__tests__/forwarding/peers.test.ts
@@ -34,10 +34,8 @@
     const second = await site.start("entry-2");
     await until(() => knows("entry-1", "entry-2") && knows("entry-2", "entry-1"));
     const long = call(first.callers, "/replies/a", { headers: generation(40_000, 400) });
-    await until(() =>
-        site.entries[1]!.entry.loadOf("m-1").requests + site.entries[1]!.entry.loadOf("m-2").requests
-                + site.entries[1]!.entry.loadOf("m-3").requests + site.entries[1]!.entry.loadOf("m-4").requests > 0
-    );
+    const believed = () => [...site.replicas.keys()].some(id => second.entry.loadOf(id).requests > 0);
+    await until(() => believed() && [...site.replicas.values()].some(replica => replica.arrivals.length > 0));
     const taken = [...site.replicas.values()].find(replica => replica.arrivals.length > 0)!;
     await call(second.callers, "/replies/a", { headers: generation(40_000, 8) });
     expect(taken.arrivals).toHaveLength(1);
--- /dev/null
+++ b/__tests__/forwarding/program.test.ts
@@ -0,0 +1,134 @@
+/** The serving program itself, as a process of its own: signals, settings, exit codes. */
+import { buildSync } from "esbuild";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import http from "node:http";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from "vitest";
+import { systemClock } from "../../src/utils/clock.js";
+import { Site } from "./support/site.js";
+
+const root = path.resolve(import.meta.dirname, "../..");
+const folder = mkdtempSync(path.join(tmpdir(), "dandelionramp-program-"));
+const program = path.join(folder, "main.cjs");
+const settingsFile = path.join(folder, "entry.ini");
+const basePort = 22_340;
+
+let site: Site;
+let child: ChildProcess | undefined;
+let output = "";
+
+beforeAll(() => {
+    buildSync({
+        entryPoints: [path.join(root, "platform/main.ts")],
+        bundle: true,
+        platform: "node",
+        target: "node20",
+        format: "cjs",
+        outfile: program,
+        logLevel: "silent",
+        external: ["dtrace-provider", "mv", "moment", "safe-json-stringify", "source-map-support"],
+    });
+});
+
+afterAll(() => rmSync(folder, { recursive: true }));
+
+beforeEach(async () => {
+    site = new Site();
+    await site.replica("i-1", "bookings");
+    site.configure(1);
+});
+
+afterEach(async () => {
+    child?.kill("SIGKILL");
+    await site.close();
+});
+
+const settingsText = async (changes: Record<string, string> = {}): Promise<string> => {
+    const { address } = await site.store.door();
+    const values: Record<string, string> = {
+        node_name: "entry-1",
+        zone: "north-a",
+        ip: "127.0.0.1",
+        "listen.front": `127.0.0.1:${basePort}`,
+        "listen.ready": `127.0.0.1:${basePort + 1}`,
+        "port_range.0": String(basePort + 2),
+        "port_range.1": String(basePort + 3),
+        "platform.address": address,
+        "bounds.retry_budget_ratio": "0.2",
+        "bounds.budget_window_s": "10",
+        "bounds.budget_extra": "100",
+        "bounds.cold_overage": "1.5",
+        "bounds.cold_extra": "5",
+        "bounds.grace_s": "4",
+        ...changes,
+    };
+    const template = readFileSync(path.join(root, "platform/entry.ini"), "utf8");
+    return template.replace(/\{\{([^}]+)\}\}/g, (...[, name]) => values[name as string] ?? "");
+};
+
+const start = (text: string): Promise<number | undefined> => {
+    writeFileSync(settingsFile, text);
+    output = "";
+    const started = spawn(process.execPath, [program], {
+        env: { ...process.env, DANDELIONRAMP_SETTINGS: settingsFile },
+    });
+    child = started;
+    const take = (chunk: Buffer) => {
+        output += chunk.toString("utf8");
+    };
+    started.stdout.on("data", take);
+    started.stderr.on("data", take);
+    return new Promise(resolve => started.once("exit", code => resolve(code ?? undefined)));
+};
+
+const readiness = (): Promise<number> =>
+    new Promise(resolve => {
+        http.get(`http://127.0.0.1:${basePort + 1}/`, response => {
+            response.resume();
+            resolve(response.statusCode ?? 0);
+        }).on("error", () => resolve(0));
+    });
+
+const untilReadinessIs = async (status: number): Promise<void> => {
+    const looks = 500;
+    for (let look = 0; look < looks && await readiness() !== status; look++) {
+        await systemClock.sleep(20);
+    }
+    expect(await readiness()).toBe(status);
+};
+
+test("SIGHUP reads the settings again and ends nothing", async () => {
+    // The platform says by SIGHUP that the settings file has changed. Node ends a process that doesn't listen for it, and
+    // with it every request in progress.
+    const exited = start(await settingsText());
+    await untilReadinessIs(200);
+    writeFileSync(settingsFile, await settingsText({ "bounds.budget_extra": "7" }));
+    child!.kill("SIGHUP");
+    for (let look = 0; look < 200 && !output.includes("The settings were read again."); look++) {
+        await systemClock.sleep(20);
+    }
+    expect(output).toContain("\"extra\":7");
+    expect(await readiness()).toBe(200);
+    writeFileSync(settingsFile, "[nonsense]\n");
+    child!.kill("SIGHUP");
+    await systemClock.sleep(200);
+    expect(await readiness()).toBe(200);
+    child!.kill("SIGTERM");
+    expect(await exited).toBe(0);
+});
+
+test("SIGTERM ends an idle entry within the grace", async () => {
+    const exited = start(await settingsText());
+    await untilReadinessIs(200);
+    child!.kill("SIGTERM");
+    await untilReadinessIs(503);
+    expect(await exited).toBe(0);
+});
+
+test("faulty settings are named", async () => {
+    const exited = start(await settingsText({ "bounds.grace_s": "soon" }));
+    expect(await exited).toBe(1);
+    expect(output).toContain("[stop] graceSeconds: expected a number of at least 0");
+});
--- a/__tests__/forwarding/stop.test.ts
+++ b/__tests__/forwarding/stop.test.ts
@@ -1,6 +1,7 @@
 /** Planned stops cut nothing, and an entry says in time that it leaves. */
 import http from "node:http";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { systemClock } from "../../src/utils/clock.js";
 import { call, eventIds, generation, Site, until } from "./support/site.js";
 
 let site: Site;
@@ -71,3 +72,18 @@
     await stopped;
     agent.destroy();
 });
+
+test("request that can't end before the entry does", async () => {
+    // All entries of a data centre stop together, and the balancer still sends callers there. A stream that begins late in
+    // the grace would be cut in the middle; refused at once, its caller finds another entry in time.
+    const { entry, callers } = await site.start("entry-1");
+    const stopped = entry.stop();
+    await systemClock.sleep(1_500);
+    const long = await call(callers, "/replies/a", { headers: generation(1_000, 4_000) });
+    expect(long.status).toBe(503);
+    expect(JSON.parse(long.body)).toMatchObject({ execution: "not-run" });
+    expect(Number(long.headers["retry-after"])).toBeLessThan(1);
+    const short = await call(callers, "/replies/a", { headers: generation(1_000, 40) });
+    expect(short).toMatchObject({ status: 200, whole: true });
+    await stopped;
+});
--- a/src/adapters/callers/problem.ts
+++ b/src/adapters/callers/problem.ts
@@ -36,6 +36,7 @@
         .with(FailureKind.Poison, () => ({ status: 422, title: "Request crashes endpoints" }))
         .with(FailureKind.Overloaded, () => ({ status: 503, title: "Overloaded" }))
         .with(FailureKind.NoEndpoint, () => ({ status: 503, title: "No endpoint" }))
+        .with(FailureKind.Stopping, () => ({ status: 503, title: "Entry is stopping" }))
         .with(FailureKind.PlatformDown, () => ({ status: 503, title: "Platform down" }))
         .with(FailureKind.DeadlineExceeded, () => ({ status: 504, title: "Deadline exceeded" }))
         .with(FailureKind.RetriesExhausted, () => ({ status: 503, title: "Retries exhausted" }))
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -61,9 +61,10 @@
     private readonly log: PartLog;
     private readonly ending = new AbortController();
     private readiness: Listener | undefined;
-    private stopping = false;
+    /** When a planned stop cuts what is left. */
+    private endsAt: Milliseconds | undefined;
 
-    constructor(private readonly settings: ForwardingSettings, private readonly parts: ForwardingEntryParts) {
+    constructor(private settings: ForwardingSettings, private readonly parts: ForwardingEntryParts) {
         const { clock, random, wire, log } = parts;
         this.log = log("entry");
         const { instance, listen } = settings;
@@ -71,7 +72,6 @@
         this.directory = new EndpointDirectory(clock, log("directory"));
         const failures = new FailureView(clock);
         const view = new LoadView(clock);
-        const { repeats, cold } = settings;
         this.loads = new SharedLoads(view);
         const entries = () => entriesAssumed;
         this.forwarder = new Forwarder({
@@ -86,12 +86,16 @@
             failures,
             repeats: new RepeatBudget(
                 clock,
-                { share: repeats.share, window: repeats.windowSeconds * 1_000, extra: repeats.extra },
+                () => {
+                    const { share, windowSeconds, extra } = this.settings.repeats;
+                    return { share, window: windowSeconds * 1_000, extra };
+                },
                 entries,
             ),
-            cold: new ColdBudget(clock, cold, entries),
+            cold: new ColdBudget(clock, () => this.settings.cold, entries),
             entry: settings.instance.id,
             dataCentre: settings.instance.dataCentre,
+            endsAt: () => this.endsAt,
         });
         this.peerSocket = new PeerSocket(log("peers"), message => this.peers.hear(message));
         this.peers = new Peers({
@@ -108,14 +112,14 @@
             log: log("callers"),
             serve: exchange => this.forwarder.serve(exchange),
             routes: () => this.configuration.routes,
-            stopping: () => this.stopping,
+            stopping: () => this.endsAt !== undefined,
         });
         this.configuration.onChange(routes => this.callers.limit(routes));
     }
 
     /** Whether this entry should get callers. */
     get ready(): boolean {
-        return this.forwarder.ready && !this.stopping;
+        return this.forwarder.ready && this.endsAt === undefined;
     }
 
     /** What this entry believes to be in progress at an endpoint. */
@@ -138,6 +142,16 @@
         return { callers, readiness: this.readiness.address };
     }
 
+    /** Takes changed settings. Addresses that it listens on stay until the next start. */
+    reload(settings: ForwardingSettings): void {
+        this.settings = settings;
+        this.log.info("The settings were read again.", {
+            repeats: settings.repeats,
+            cold: settings.cold,
+            stop: settings.stop,
+        });
+    }
+
     /**
      * Planned stop: not ready at once, serving what still comes until the balancer has noticed, then until the last
      * request has its answer or the grace is over. Resolves when nothing is left.
@@ -145,13 +159,13 @@
     async stop(): Promise<void> {
         const { clock } = this.parts;
         const begun = clock.now();
-        const grace = this.settings.stop.graceSeconds * 1_000 - stopMargin;
-        this.stopping = true;
+        const endsAt = begun + this.settings.stop.graceSeconds * 1_000 - stopMargin;
+        this.endsAt = endsAt;
         this.peers.sayStopping();
         this.run("leaving the list of entries", this.parts.store.withdraw(this.self.id, this.ending.signal));
         this.log.info("The entry is stopping.", { active: this.forwarder.active });
-        await clock.sleep(Math.min(lameDuck, grace));
-        while (clock.now() - begun < grace) {
+        await clock.sleep(Math.min(lameDuck, endsAt - begun));
+        while (clock.now() < endsAt) {
             this.callers.closeIdle();
             if (this.forwarder.active === 0 && this.callers.connections === 0) {
                 break;
@@ -193,7 +207,7 @@
         while (!signal.aborted) {
             let pause = meetRetry;
             try {
-                if (!announced && !this.stopping) {
+                if (!announced && this.endsAt === undefined) {
                     await store.announce(this.self.id, { address: this.self.address }, signal);
                     announced = true;
                 }
--- a/src/core/budgets/coldBudget.ts
+++ b/src/core/budgets/coldBudget.ts
@@ -25,13 +25,14 @@
 
     constructor(
         private readonly clock: Clock,
-        private readonly limits: ColdLimits,
+        private readonly limits: () => ColdLimits,
         private readonly entries: () => number,
     ) {}
 
     /** Whether a cold endpoint that bears `requestsPerSecond` may get one more request. */
     allows(endpoint: string, requestsPerSecond: number): boolean {
-        const all = requestsPerSecond * this.limits.factor + this.limits.extra;
+        const { factor, extra } = this.limits();
+        const all = requestsPerSecond * factor + extra;
         return (this.sent.get(endpoint)?.count() ?? 0) + 1 <= usedPart * all / this.entries();
     }
 
--- a/src/core/budgets/repeatBudget.ts
+++ b/src/core/budgets/repeatBudget.ts
@@ -27,7 +27,7 @@
 
     constructor(
         private readonly clock: Clock,
-        private readonly limits: RepeatLimits,
+        private readonly limits: () => RepeatLimits,
         private readonly entries: () => number,
     ) {}
 
@@ -39,7 +39,8 @@
     /** Takes one repeat; false when the budget is spent. */
     take(service: string): boolean {
         const requests = this.window(this.requests, service).count();
-        const allowed = usedPart * (this.limits.share * requests + this.limits.extra / this.entries());
+        const { share, extra } = this.limits();
+        const allowed = usedPart * (share * requests + extra / this.entries());
         const repeats = this.window(this.repeats, service);
         if (repeats.count() + 1 > allowed) {
             return false;
@@ -51,7 +52,7 @@
     private window(windows: Map<string, SlidingWindow>, service: string): SlidingWindow {
         let window = windows.get(service);
         if (!window) {
-            window = new SlidingWindow(this.clock, this.limits.window);
+            window = new SlidingWindow(this.clock, this.limits().window);
             windows.set(service, window);
         }
         return window;
--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -26,6 +26,8 @@
     Poison = "crashes-endpoints",
     Overloaded = "overloaded",
     NoEndpoint = "no-endpoint",
+    /** This entry stops before the answer could be whole. */
+    Stopping = "stopping",
     PlatformDown = "platform-down",
     DeadlineExceeded = "deadline-exceeded",
     RetriesExhausted = "retries-exhausted",
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -1,6 +1,6 @@
 /** Forwards callers' requests: one task a request, from its head to the last byte of its answer. */
 import type { CallerExchange, EndpointPort } from "../../ports/forwardingPorts.js";
-import type { Clock } from "../../utils/clock.js";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
 import type { Random } from "../../utils/random.js";
 import type { ColdBudget } from "../budgets/coldBudget.js";
@@ -33,6 +33,8 @@
     /** Name of this entry, and its data centre. */
     entry: string;
     dataCentre: string;
+    /** When this entry cuts what is left; undefined while it isn't stopping. */
+    endsAt: () => Milliseconds | undefined;
 }
 
 /** Serves callers' exchanges. */
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -25,6 +25,10 @@
 const busyRetrySeconds = 0.25;
 /** When to come back while a service has no endpoint that may get work: about a heartbeat of the endpoints. */
 const noEndpointRetrySeconds = 1;
+/** When to come back to another entry: at once, but not in step with all others. */
+const stoppingRetrySeconds = 0.1;
+/** Predictions of a whole answer are passed by this much in nine of ten; pauses grow with reads beside it. */
+const stopCaution = 2;
 /** An order needs at least this much time to be worth sending. */
 const leastTimeToSend: Milliseconds = 20;
 const firstFailureStatus = 500;
@@ -251,9 +255,22 @@
             const detail = `no endpoint of ${service.name} may get work`;
             throw this.failure(FailureKind.NoEndpoint, detail, noEndpointRetrySeconds);
         }
+        this.checkStop(placement);
         return placement;
     }
 
+    /**
+     * A stopping entry may still get requests, when all entries of its data centre stop and the balancer knows no other.
+     * One that can't end before this entry does would be cut in the middle; refused at once, its caller finds another entry.
+     */
+    private checkStop({ whole }: Placement): void {
+        const endsAt = this.parts.endsAt();
+        if (endsAt !== undefined && this.sends === 0 && this.parts.clock.now() + stopCaution * whole > endsAt) {
+            const detail = "this entry stops before the answer could be whole";
+            throw this.failure(FailureKind.Stopping, detail, stoppingRetrySeconds);
+        }
+    }
+
     private async send(placement: Placement): Promise<EndpointOutcome> {
         const { loads, cold, endpoints } = this.parts;
         const { route, customer } = this.admission;
--- a/src/core/placement/engineCost.ts
+++ b/src/core/placement/engineCost.ts
@@ -18,6 +18,14 @@
     * (engine.stepTime + writers * engine.stepTimePerRequest
         + contextTokens / tokensPerThousand * engine.stepTimePerThousandTokens);
 
+/** Time to write an answer of `answerTokens` beside `writers` others, without any reading. */
+export const writeTime = (
+    engine: EngineProfile,
+    answerTokens: number,
+    writers: number,
+    contextTokens: number,
+): Milliseconds => Math.ceil(answerTokens / engine.stepsPerPass) * passTime(engine, writers + 1, contextTokens);
+
 /** The most that reading adds to one pass with writers: a chunk in each step. */
 export const readTimePerPassAtMost = (engine: EngineProfile): Milliseconds =>
     engine.stepsPerPass * engine.chunkTokens / engine.readTokensPerSecond * 1_000;
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -8,7 +8,7 @@
 import type { EngineProfile, ServiceDefinition } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
-import { passTime, readTime, readTimePerPassAtMost } from "./engineCost.js";
+import { passTime, readTime, readTimePerPassAtMost, writeTime } from "./engineCost.js";
 import type { FailureView } from "./failureView.js";
 import type { EndpointLoad, LoadView } from "./loadView.js";
 
@@ -55,6 +55,8 @@
     readTime: Milliseconds;
     /** Predicted time to the first event, or to the answer's start for plain services. */
     firstEvent: Milliseconds;
+    /** Predicted time to the answer's end. */
+    whole: Milliseconds;
 }
 
 /** What is lost when a generation is late, relative to others. Longer prompts are worth more. */
@@ -82,7 +84,7 @@
             const { requests } = this.loads.load(candidate.record.id);
             return requests / candidate.record.slots + this.plainCost(need, candidate);
         });
-        return endpoint && { endpoint, helpers: [], readTime: 0, firstEvent: 0 };
+        return endpoint && { endpoint, helpers: [], readTime: 0, firstEvent: 0, whole: need.targetLatency };
     }
 
     private placeGeneration(
@@ -103,8 +105,10 @@
             return undefined;
         }
         const helpers = idle.filter(other => other !== endpoint).slice(0, readers - 1);
-        const firstEvent = predictFirstEvent(engine, this.loads.load(endpoint.record.id), part);
-        return { endpoint, helpers, readTime: part, firstEvent };
+        const load = this.loads.load(endpoint.record.id);
+        const firstEvent = predictFirstEvent(engine, load, part);
+        const writing = writeTime(engine, need.answerTokens, load.writers, load.contextTokens + need.promptTokens);
+        return { endpoint, helpers, readTime: part, firstEvent, whole: firstEvent + writing };
     }
 
     /** What is lost by placing a read of `part` at a candidate. */
--- a/src/standins/objectStoreModel.ts
+++ b/src/standins/objectStoreModel.ts
@@ -109,21 +109,28 @@
         this.changed.notify();
     }
 
-    /** Resolves with the changes behind `revision` once there are any, or with none after `wait`. */
-    async watch(kind: string, revision: number, wait: Milliseconds, signal: AbortSignal): Promise<ModelEvent[]> {
+    /**
+     * Resolves with the changes behind `revision` once there are any, or with none after `wait`, and with the revision up
+     * to which they are all.
+     */
+    async watch(
+        kind: string,
+        revision: number,
+        wait: Milliseconds,
+        signal: AbortSignal,
+    ): Promise<{ events: ModelEvent[]; revision: number; }> {
         const stop = new AbortController();
         const end = () => stop.abort();
         signal.addEventListener("abort", end, { once: true });
         const timer = this.clock.sleep(wait, stop.signal).then(end);
-        let events = this.since(kind, revision);
-        while (!stop.signal.aborted && (this.deaf || events.length === 0)) {
+        while (!stop.signal.aborted && (this.deaf || this.since(kind, revision).length === 0)) {
             await this.changed.next(stop.signal);
-            events = this.since(kind, revision);
         }
         stop.abort();
         await timer;
         signal.removeEventListener("abort", end);
-        return this.deaf ? [] : events;
+        // Both are read in one step: a change in between would be in neither.
+        return this.deaf ? { events: [], revision } : { events: this.since(kind, revision), revision: this.revision };
     }
 
     private since(kind: string, revision: number): ModelEvent[] {
