--- a/__tests__/forwarding/program.test.ts
+++ b/__tests__/forwarding/program.test.ts
@@ -7,7 +7,7 @@
 import path from "node:path";
 import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from "vitest";
 import { systemClock } from "../../src/utils/clock.js";
-import { Site } from "./support/site.js";
+import { call, Site } from "./support/site.js";
 
 const root = path.resolve(import.meta.dirname, "../..");
 const folder = mkdtempSync(path.join(tmpdir(), "dandelionramp-program-"));
@@ -132,3 +132,22 @@
     expect(await exited).toBe(1);
     expect(output).toContain("[stop] graceSeconds: expected a number of at least 0");
 });
+
+test("reader of the logs that stalls", async () => {
+    // Whoever reads the entry's lines stops reading. Node writes to pipes synchronously, and the whole entry would stop at
+    // the first line that finds the pipe full.
+    const exited = start(await settingsText());
+    await untilReadinessIs(200);
+    child!.stdout!.pause();
+    const answers = await Promise.all([...Array(40).keys()].map(async () => {
+        let answered = 0;
+        for (let request = 0; request < 25; request++) {
+            answered += (await call(`127.0.0.1:${basePort}`, "/lookups/a")).status === 200 ? 1 : 0;
+        }
+        return answered;
+    }));
+    expect(answers.reduce((sum, answered) => sum + answered, 0)).toBe(1_000);
+    child!.stdout!.resume();
+    child!.kill("SIGTERM");
+    expect(await exited).toBe(0);
+});
--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -8,7 +8,7 @@
 import type { ForwardingSettings } from "../../../src/adapters/forwarding/entrySettings.js";
 import { ForwardingEntry } from "../../../src/adapters/forwarding/forwardingEntry.js";
 import { PassEngine } from "../../../src/standins/passEngineModel.js";
-import type { EngineProfile } from "../../../src/types/routing.js";
+import { type EngineProfile, PlacementPolicy } from "../../../src/types/routing.js";
 import { systemClock } from "../../../src/utils/clock.js";
 import { LogLevel, type PartLog } from "../../../src/utils/log.js";
 import { seededRandom } from "../../../src/utils/random.js";
@@ -155,6 +155,7 @@
             store: { address: door.address },
             repeats: { share: 0.2, windowSeconds: 10, extra: 100 },
             cold: { factor: 1.5, extra: 5 },
+            placement: { policy: PlacementPolicy.Predicted, shared: true },
             stop: { graceSeconds: 4 },
             log: { level: LogLevel.Info },
         };
--- a/src/adapters/forwarding/entrySettings.ts
+++ b/src/adapters/forwarding/entrySettings.ts
@@ -1,5 +1,6 @@
 /** Settings of an entry that forwards by routes, in INI. */
 import { z } from "zod";
+import { PlacementPolicy } from "../../types/routing.js";
 import { LogLevel } from "../../utils/log.js";
 import { setting } from "../../utils/settings.js";
 
@@ -33,6 +34,11 @@
         /** Beside it, in a second. */
         extra: decimal(),
     }),
+    placement: z.strictObject({
+        policy: setting.oneOf(PlacementPolicy).default(PlacementPolicy.Predicted),
+        /** Whether entries tell one another what they place. */
+        shared: setting.flag().default(true),
+    }).default({ policy: PlacementPolicy.Predicted, shared: true }),
     stop: z.strictObject({ graceSeconds: decimal() }),
     log: z.strictObject({ level: setting.oneOf(LogLevel).default(LogLevel.Info) }).default({ level: LogLevel.Info }),
 });
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -36,8 +36,10 @@
 /** How often the store's list of entries is read, for entries that lost sight of one another. */
 const meetInterval: Milliseconds = 10_000;
 const meetRetry: Milliseconds = 1_000;
-/** Entries that are assumed where membership isn't known; budgets are divided by it. */
-const entriesAssumed = 9;
+/** Entries that budgets are divided by at the least, for an entry that hears nobody: the largest site of today. */
+const entriesAtLeast = 9;
+/** One entry more may be starting, and not have been heard yet. */
+const entriesUnheard = 1;
 
 /** What an entry needs of the world. */
 export interface ForwardingEntryParts {
@@ -73,7 +75,7 @@
         const failures = new FailureView(clock);
         const view = new LoadView(clock);
         this.loads = new SharedLoads(view);
-        const entries = () => entriesAssumed;
+        const entries = () => Math.max(entriesAtLeast, this.peers.living + entriesUnheard);
         this.forwarder = new Forwarder({
             clock,
             random,
@@ -81,7 +83,7 @@
             configuration: this.configuration,
             directory: this.directory,
             endpoints: new EndpointClient(wire, clock),
-            placer: new Placer(view, failures),
+            placer: new Placer(view, failures, settings.placement.policy),
             loads: this.loads,
             failures,
             repeats: new RepeatBudget(
@@ -103,6 +105,7 @@
             log: log("peers"),
             channel: this.peerSocket,
             loads: this.loads,
+            tellsLoads: settings.placement.shared,
             self: this.self,
             inProgress: () => this.forwarder.inProgress,
         });
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -29,6 +29,8 @@
     log: PartLog;
     channel: PeerNewsPort;
     loads: SharedLoads;
+    /** Whether the others hear what this entry places. */
+    tellsLoads: boolean;
     self: PeerIdentity;
     /** Identifiers of this entry's requests in progress. */
     inProgress: () => string[];
@@ -41,7 +43,9 @@
     private gathering = false;
 
     constructor(private readonly parts: PeersParts) {
-        parts.loads.tell = news => this.tell(news);
+        if (parts.tellsLoads) {
+            parts.loads.tell = news => this.tell(news);
+        }
     }
 
     /** Entries that were heard of late, this one included. */
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -5,7 +5,7 @@
  * holds up the first event of all that come after it, and stretches every pause of those that write beside it. Work is
  * placed where the least value is lost: by the newcomer's first event, and by the pauses of those it joins.
  */
-import type { EngineProfile, ServiceDefinition } from "../../types/routing.js";
+import { type EngineProfile, PlacementPolicy, type ServiceDefinition } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
 import { passTime, readTime, readTimePerPassAtMost, writeTime } from "./engineCost.js";
@@ -68,7 +68,11 @@
 
 /** Chooses among endpoints that may get work. */
 export class Placer {
-    constructor(private readonly loads: LoadView, private readonly failures: FailureView) {}
+    constructor(
+        private readonly loads: LoadView,
+        private readonly failures: FailureView,
+        private readonly policy = PlacementPolicy.Predicted,
+    ) {}
 
     /** The best endpoint of `candidates`; undefined when there is none. */
     place(need: PlacementNeed, candidates: readonly KnownEndpoint[]): Placement | undefined {
@@ -76,7 +80,9 @@
         const untried = anyOr(willing, ({ record }) => !need.broken.has(record.id));
         const choice = anyOr(untried, ({ record }) => !this.failures.resting(record.id));
         const { engine } = need.service;
-        return engine ? this.placeGeneration(need, engine, choice) : this.placeCall(need, choice);
+        return engine && this.policy === PlacementPolicy.Predicted
+            ? this.placeGeneration(need, engine, choice)
+            : this.placeCall(need, choice);
     }
 
     private placeCall(need: PlacementNeed, candidates: readonly KnownEndpoint[]): Placement | undefined {
--- a/src/types/routing.ts
+++ b/src/types/routing.ts
@@ -99,6 +99,14 @@
     limits: CallerLimits;
 }
 
+/** How endpoints are chosen. */
+export enum PlacementPolicy {
+    /** Where the least value is lost by predicted times. */
+    Predicted = "predicted",
+    /** Where the fewest requests are in progress; a baseline to compare with. */
+    LeastOutstanding = "leastOutstanding",
+}
+
 /** Whether an endpoint may get new requests. */
 export enum EndpointState {
     Ready = "ready",
