Under a load beyond the endpoints' strength late work yields, and hopeless work is refused at once

Now work whose wait for a slot is over its target goes with the last rank and isn't counted before newcomers; work that callers would give up before its first event is refused with the time to come back.

--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -76,16 +76,14 @@
     }
 
     /** Places a prompt and notes it; returns the endpoint and how many help. */
-    place(promptTokens: number): { id: string; helpers: number; firstEvent: number; work: string; } {
+    place(promptTokens: number): { id: string; helpers: number; firstEvent: number; yields: boolean; work: string; } {
         const need = this.need(promptTokens);
-        const placement = this.placer.place(need, this.endpoints)!;
+        const { endpoint, helpers, readTime: read, firstEvent, yields } = this.placer.place(need, this.endpoints)!;
         const work = `w-${this.next++}`;
-        const all = [placement.endpoint, ...placement.helpers];
-        all.forEach(({ record }, index) =>
-            this.loads.place(this.work(record.id, work, need, placement.readTime, index > 0))
-        );
-        const { id } = placement.endpoint.record;
-        return { id, helpers: placement.helpers.length, firstEvent: placement.firstEvent, work };
+        for (const [index, { record }] of [endpoint, ...helpers].entries()) {
+            this.loads.place({ ...this.work(record.id, work, need, read, index > 0), yielding: yields });
+        }
+        return { id: endpoint.record.id, helpers: helpers.length, firstEvent, yields, work };
     }
 
     work(endpoint: string, id: string, need: PlacementNeed, read: number, helping: boolean): PlacedWork {
@@ -97,6 +95,7 @@
             readTime: read,
             targetGap: need.targetGap,
             value: valueOf(need.promptTokens),
+            yielding: false,
             helping,
             endsBy: this.time + 10_000,
         };
@@ -211,3 +210,28 @@
     fixture.time = 10_000;
     expect(fixture.loads.load("e-0").requests).toBe(0);
 });
+
+test("late work lets newcomers go first", () => {
+    // Few endpoints are left for all short prompts, and more come than they can write. If all wait in turn, every one is late;
+    // if those that are late in any case let newcomers go first, most of the others are in time.
+    const fixture = new Fixture(2);
+    const works: { id: string; work: string; }[] = [];
+    let yielding = 0;
+    for (let index = 0; index < 40; index++) {
+        const placed = fixture.place(5_000);
+        works.push(placed);
+        yielding += placed.yields ? 1 : 0;
+    }
+    expect(yielding).toBeGreaterThan(5);
+    fixture.time += 100;
+    for (const { id, work } of works.slice(0, 22)) {
+        fixture.loads.writes(id, work);
+    }
+    fixture.time += 1_600;
+    for (const { id, work } of works.slice(0, 4)) {
+        fixture.loads.end(id, work);
+    }
+    const newcomer = fixture.place(5_000);
+    expect(newcomer.yields).toBe(false);
+    expect(newcomer.firstEvent).toBeLessThan(300);
+});
--- a/__tests__/forwarding/requests.test.ts
+++ b/__tests__/forwarding/requests.test.ts
@@ -1,5 +1,6 @@
 /** Requests through a whole site on loopback: routes, keys, kinds, times and streams. */
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { systemClock } from "../../src/utils/clock.js";
 import { call, eventIds, generation, operatorConfiguration, Site, until } from "./support/site.js";
 
 let site: Site;
@@ -301,3 +302,25 @@
     const arrival = [...site.replicas.values()].flatMap(replica => replica.arrivals)[0]!;
     expect(arrival.headers["dandelionramp-helpers"]!.split(",").length).toBe(1);
 });
+
+test("work that callers would give up is refused at once", async () => {
+    // All slots are taken for seconds, and a queue waits for them. A further request would be given up before its first event;
+    // it is told at once when to come back, and has not run.
+    await site.replica("m-1", "models");
+    site.configure(1, { replies: { timeout_ms: 8_000 } });
+    const entry = await site.start("entry-1");
+    const headers = { ...generation(1_000, 2_400), "dandelionramp-deadline-ms": "8000" };
+    const leaving = new AbortController();
+    const running = [...Array(12).keys()].map(() =>
+        call(entry.callers, "/replies/a", { headers, signal: leaving.signal }).catch(() => undefined)
+    );
+    await systemClock.sleep(200);
+    const refused = await call(entry.callers, "/replies/a", { id: "late", headers });
+    expect(refused.status).toBe(503);
+    expect(refused.took).toBeLessThan(200);
+    expect(Number(refused.headers["retry-after"])).toBeGreaterThan(0.2);
+    expect(JSON.parse(refused.body)).toMatchObject({ execution: "not-run" });
+    expect(site.replicas.get("m-1")!.arrivals.some(({ id }) => id === "late")).toBe(false);
+    leaving.abort();
+    await Promise.all(running);
+});
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -17,6 +17,7 @@
     readTime: z.number(),
     targetGap: z.number().optional(),
     value: z.number(),
+    yielding: z.boolean(),
     helping: z.boolean(),
     endsIn: z.number(),
 });
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -27,6 +27,10 @@
 const noEndpointRetrySeconds = 1;
 /** When to come back to another entry: at once, but not in step with all others. */
 const stoppingRetrySeconds = 0.1;
+/** Callers wait for an event for the longest of: a time, so many targets of the first event, so many of pauses. */
+const patienceAtLeast: Milliseconds = 2_000;
+const patienceTargets = 4;
+const patienceGaps = 8;
 /** Predictions of a whole answer are passed by this much in nine of ten; pauses grow with reads beside it. */
 const stopCaution = 2;
 /** An order needs at least this much time to be worth sending. */
@@ -256,6 +260,7 @@
             throw this.failure(FailureKind.NoEndpoint, detail, noEndpointRetrySeconds);
         }
         this.checkStop(placement);
+        this.checkPatience(placement);
         return placement;
     }
 
@@ -271,6 +276,28 @@
         }
     }
 
+    /**
+     * Callers give a stream up when its first event takes too long. Under a load beyond the endpoints' strength, work that
+     * would be given up before it begins only holds up others; refused at once, its caller knows when to come back.
+     */
+    private checkPatience({ firstEvent }: Placement): void {
+        const { route } = this.admission;
+        if (route.kind !== RequestKind.Streaming || this.sends > 0 || this.begun) {
+            return;
+        }
+        const patience = Math.max(
+            patienceAtLeast,
+            patienceTargets * route.targetLatency,
+            patienceGaps * (route.targetGap ?? 0),
+        );
+        const waited = this.parts.clock.now() - this.request.arrivedAt;
+        if (waited + firstEvent > Math.min(patience, this.timeLeft)) {
+            const detail = `the first event would take ${Math.round(firstEvent)} ms`;
+            const comeBack = Math.max(busyRetrySeconds, (firstEvent - route.targetLatency) / 1_000);
+            throw this.failure(FailureKind.Overloaded, detail, Math.round(comeBack * 100) / 100);
+        }
+    }
+
     private async send(placement: Placement): Promise<EndpointOutcome> {
         const { loads, cold, endpoints } = this.parts;
         const { route, customer } = this.admission;
@@ -293,7 +320,7 @@
                 endpoint: endpoint.record,
                 timeLeft: this.timeLeft,
                 customer: customer?.name,
-                priority: Math.min(lastRank, customer?.priority ?? route.priority),
+                priority: placement.yields ? lastRank : Math.min(lastRank - 1, customer?.priority ?? route.priority),
                 resumeAfter: this.lastEvent,
                 helpers: helpers.map(({ record }) => record.address),
                 streaming: route.kind === RequestKind.Streaming,
@@ -318,7 +345,7 @@
         }
     }
 
-    private works({ endpoint, helpers, readTime }: Placement) {
+    private works({ endpoint, helpers, readTime, yields }: Placement) {
         const { route } = this.admission;
         const promptTokens = this.request.size?.promptTokens ?? 0;
         const work = {
@@ -329,6 +356,7 @@
             readTime,
             targetGap: route.targetGap,
             value: valueOf(promptTokens),
+            yielding: yields,
             helping: false,
             endsBy: this.admission.deadline,
         };
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -192,6 +192,7 @@
     readTime: work.readTime,
     targetGap: work.targetGap,
     value: work.value,
+    yielding: work.yielding,
     helping: work.helping,
     endsIn: work.endsBy - now,
 });
--- a/src/core/placement/loadView.ts
+++ b/src/core/placement/loadView.ts
@@ -21,6 +21,8 @@
     targetGap: Milliseconds | undefined;
     /** What is lost when it is late, relative to other work. */
     value: number;
+    /** Whether it lets later requests go first, as it is late in any case. */
+    yielding: boolean;
     /** Whether it only reads a part here for another endpoint. */
     helping: boolean;
     /** When it has ended at the latest. */
@@ -38,6 +40,8 @@
 export interface EndpointLoad {
     /** Requests of all phases, without helping reads. */
     requests: number;
+    /** Those of them that a new request may overtake: they wait and yield. */
+    overtakable: number;
     /** Requests that read, helping reads included. */
     readers: number;
     writers: number;
@@ -57,6 +61,7 @@
 
 const idle: EndpointLoad = {
     requests: 0,
+    overtakable: 0,
     readers: 0,
     writers: 0,
     contextTokens: 0,
@@ -85,7 +90,7 @@
         }
         let freeAt = now;
         for (const other of works.values()) {
-            freeAt = Math.max(freeAt, other.writing ? 0 : other.readUntil);
+            freeAt = Math.max(freeAt, other.writing || other.yielding ? 0 : other.readUntil);
         }
         works.set(work.id, { ...work, placedAt: now, writing: false, readUntil: freeAt + work.readTime });
     }
@@ -148,6 +153,10 @@
 const addWork = (load: EndpointLoad, work: Work, now: Milliseconds): void => {
     load.requests += work.helping ? 0 : 1;
     if (!work.writing) {
+        if (work.yielding) {
+            load.overtakable++;
+            return;
+        }
         load.readers++;
         load.readBacklog = Math.max(load.readBacklog, work.readUntil - now);
         return;
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -55,6 +55,8 @@
     readTime: Milliseconds;
     /** Predicted time to the first event, or to the answer's start for plain services. */
     firstEvent: Milliseconds;
+    /** Whether it would be late and should let later requests go first. */
+    yields: boolean;
     /** Predicted time to the answer's end. */
     whole: Milliseconds;
 }
@@ -90,7 +92,8 @@
             const { requests } = this.loads.load(candidate.record.id);
             return requests / candidate.record.slots + this.plainCost(need, candidate);
         });
-        return endpoint && { endpoint, helpers: [], readTime: 0, firstEvent: 0, whole: need.targetLatency };
+        return endpoint
+            && { endpoint, helpers: [], readTime: 0, firstEvent: 0, yields: false, whole: need.targetLatency };
     }
 
     private placeGeneration(
@@ -112,9 +115,11 @@
         }
         const helpers = idle.filter(other => other !== endpoint).slice(0, readers - 1);
         const load = this.loads.load(endpoint.record.id);
-        const firstEvent = predictFirstEvent(engine, load, part);
+        const firstEvent = predictFirstEvent(engine, load, part, need.answerTokens);
         const writing = writeTime(engine, need.answerTokens, load.writers, load.contextTokens + need.promptTokens);
-        return { endpoint, helpers, readTime: part, firstEvent, whole: firstEvent + writing };
+        const yields = slotWait(engine, load, need.answerTokens) > need.targetLeft;
+        const behind = yields ? firstEvent + overtakenWait(engine, load, need.answerTokens) : firstEvent;
+        return { endpoint, helpers, readTime: part, firstEvent: behind, yields, whole: behind + writing };
     }
 
     /** What is lost by placing a read of `part` at a candidate. */
@@ -126,16 +131,13 @@
         candidate: KnownEndpoint,
     ): number {
         const value = valueOf(need.promptTokens);
-        const firstEvent = predictFirstEvent(engine, load, part);
+        const firstEvent = predictFirstEvent(engine, load, part, need.answerTokens);
         let cost = value * lateness(firstEvent, Math.max(1, need.targetLeft));
         const pause = passTime(engine, load.writers + 1, load.contextTokens + need.promptTokens)
             + Math.min(load.readBacklog + part, readTimePerPassAtMost(engine));
         for (const other of load.tolerances) {
             cost += other.value * lateness(pause, other.targetGap);
         }
-        if (load.requests >= engine.slots) {
-            cost += value;
-        }
         cost += queueCost * value * firstEvent / need.targetLatency;
         cost += part <= shortRead ? packing(load) : packingCost * load.writers;
         return cost + this.plainCost(need, candidate) * value;
@@ -159,11 +161,34 @@
     load.writers < writersPacked ? packingCost * (writersPacked - load.writers) : packingCost * 3 * load.writers;
 
 /** Half a pass is left on average, then what waits is read, then this prompt, then its first pass writes. */
-const predictFirstEvent = (engine: EngineProfile, load: EndpointLoad, part: Milliseconds): Milliseconds => {
+const predictFirstEvent = (
+    engine: EngineProfile,
+    load: EndpointLoad,
+    part: Milliseconds,
+    answerTokens: number,
+): Milliseconds => {
     const pass = passTime(engine, load.writers + 1, load.contextTokens);
-    return (load.writers > 0 ? pass / 2 : 0) + load.readBacklog + part + pass;
+    const running = load.writers > 0 ? pass / 2 : 0;
+    return slotWait(engine, load, answerTokens) + running + load.readBacklog + part + pass;
 };
 
+/**
+ * The wait for a slot, when few endpoints are left and all are full. Slots come free one by one as answers end. Requests
+ * that yield are overtaken, so they aren't counted.
+ */
+const slotWait = (engine: EngineProfile, load: EndpointLoad, answerTokens: number): Milliseconds => {
+    const ahead = load.requests - load.overtakable - engine.slots + 1;
+    return Math.max(0, ahead) * slotInterval(engine, load, answerTokens);
+};
+
+/** The further wait of a request that yields: behind those that yield already. */
+const overtakenWait = (engine: EngineProfile, load: EndpointLoad, answerTokens: number): Milliseconds =>
+    load.overtakable * slotInterval(engine, load, answerTokens);
+
+/** Time in which one of the slots of a full endpoint comes free. */
+const slotInterval = (engine: EngineProfile, load: EndpointLoad, answerTokens: number): Milliseconds =>
+    writeTime(engine, answerTokens, engine.slots - 1, load.contextTokens) / engine.slots;
+
 /** Those for which `holds`; all when there is none. */
 const anyOr = (
     candidates: readonly KnownEndpoint[],
