--- a/__tests__/forwarding/requests.test.ts
+++ b/__tests__/forwarding/requests.test.ts
@@ -1,7 +1,7 @@
 /** Requests through a whole site on loopback: routes, keys, kinds, times and streams. */
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { systemClock } from "../../src/utils/clock.js";
-import { call, eventIds, generation, operatorConfiguration, Site, until } from "./support/site.js";
+import { call, eventIds, generation, operatorConfiguration, quickEngine, Site, until } from "./support/site.js";
 
 let site: Site;
 
@@ -288,7 +288,6 @@
 
 test("long prompt is read by several", async () => {
     const slow = { readTokensPerSecond: 40_000 };
-    const { quickEngine } = await import("./support/site.js");
     for (const id of ["m-1", "m-2", "m-3"]) {
         await site.replica(id, "models", "north-a", { ...quickEngine, ...slow });
     }
@@ -324,3 +323,22 @@
     leaving.abort();
     await Promise.all(running);
 });
+
+test("dead helper isn't chosen again", async () => {
+    // An engine has died and is still listed. Engines that read a long prompt with its help refuse in its place and name it.
+    // If nobody looks at the name, the next attempt gets the same dead helper, and the prompt is refused.
+    const slow = { ...quickEngine, readTokensPerSecond: 20_000 };
+    for (const id of ["m-1", "m-2", "m-3", "m-4"]) {
+        await site.replica(id, "models", "north-a", slow);
+    }
+    const configuration = operatorConfiguration(1);
+    configuration.services[1]!.engine!.read_per_s = slow.readTokensPerSecond;
+    configuration.routes[3] = { ...configuration.routes[3]!, timeout_ms: 8_000, attempts: 2 };
+    site.store.model.put("config", "main", configuration);
+    const entry = await site.start("entry-1");
+    await until(() => entry.entry.directory.usable("models").length === 4);
+    site.engines.delete("m-4");
+    const headers = { ...generation(60_000, 8), "dandelionramp-deadline-ms": "8000" };
+    expect((await call(entry.callers, "/replies/a", { headers })).status).toBe(200);
+    expect(site.lines.filter(({ message }) => message === "request: An endpoint refused.")).toHaveLength(1);
+});
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -143,6 +143,7 @@
                 reason: status === misdirected ? RefusalReason.WrongEndpoint : RefusalReason.Busy,
                 retryAfter: facts.retryAfter,
                 coldFor: facts.coldFor,
+                atFault: facts.atFault,
             });
             return;
         }
--- a/src/adapters/forwarding/wireNames.ts
+++ b/src/adapters/forwarding/wireNames.ts
@@ -14,6 +14,8 @@
     /** The endpoint's word that it hasn't run the request. */
     notRun: boolean;
     retryAfter: Milliseconds | undefined;
+    /** Identifier or address of the endpoint that a refusal is due to. */
+    atFault: string | undefined;
     coldFor: Milliseconds | undefined;
     /** Whether its body was changed on the way. */
     encoded: boolean;
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -4,6 +4,7 @@
     CallerExchange,
     EndpointOutcome,
     ForwardedRequest,
+    Refusal,
     StreamEvent,
 } from "../../ports/forwardingPorts.js";
 import { RefusalReason, StreamBrokenError } from "../../ports/forwardingPorts.js";
@@ -136,19 +137,27 @@
         }
     }
 
-    private noteRefusal(endpoint: KnownEndpoint, outcome: EndpointOutcome & { type: "Refused"; }): void {
+    /**
+     * Notes whose fault a refusal is. An endpoint whose helper is gone refuses in its place; without a look at whom it names,
+     * the dead helper would be chosen for the next long prompts too, and each would be refused.
+     */
+    private noteRefusal(endpoint: KnownEndpoint, outcome: Refusal): void {
         const { directory, failures } = this.parts;
         const { id } = endpoint.record;
+        const atFault = outcome.atFault === undefined ? undefined : directory.find(outcome.atFault)?.record.id;
         if (outcome.coldFor !== undefined) {
             directory.noteCold(id, outcome.coldFor);
         }
-        if (outcome.reason === RefusalReason.WrongEndpoint) {
+        if (atFault !== undefined && atFault !== id) {
+            failures.lost(atFault);
+        }
+        else if (outcome.reason === RefusalReason.WrongEndpoint) {
             failures.lost(id);
         }
         else {
             failures.failed(id);
         }
-        this.note("An endpoint refused.", endpoint, { reason: outcome.reason });
+        this.note("An endpoint refused.", endpoint, { reason: outcome.reason, atFault: outcome.atFault });
     }
 
     private passAnswer(endpoint: KnownEndpoint, { head, body }: KeptAnswer): boolean {
@@ -393,7 +402,8 @@
     private checkTime(): void {
         if (this.ending.signal.aborted || this.timeLeft <= 0) {
             const execution = this.sends === 0 ? Execution.NotRun : Execution.Unknown;
-            throw new RequestFailure(FailureKind.DeadlineExceeded, execution, "the time for this request is over");
+            const detail = this.exchange.left.aborted ? "the caller has left" : "the time for this request is over";
+            throw new RequestFailure(FailureKind.DeadlineExceeded, execution, detail);
         }
     }
 
--- a/src/core/membership/endpointDirectory.ts
+++ b/src/core/membership/endpointDirectory.ts
@@ -82,6 +82,20 @@
         return this.known.get(id);
     }
 
+    /** The endpoint with this identifier or address. */
+    find(name: string): KnownEndpoint | undefined {
+        const named = this.known.get(name);
+        if (named) {
+            return named;
+        }
+        for (const endpoint of this.known.values()) {
+            if (endpoint.record.address === name) {
+                return endpoint;
+            }
+        }
+        return undefined;
+    }
+
     replace(snapshot: StateSnapshot<EndpointRecord>, wasAway: boolean): void {
         const listed = new Set<string>();
         for (const item of snapshot.items) {
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -79,17 +79,21 @@
     headers: HeaderList;
 }
 
+/** An endpoint's own word that it hasn't run an order and won't. */
+export interface Refusal {
+    type: "Refused";
+    reason: RefusalReason;
+    retryAfter: Milliseconds | undefined;
+    coldFor: Milliseconds | undefined;
+    /** Identifier or address of the endpoint that it is due to, where the refusal says so. */
+    atFault: string | undefined;
+}
+
 /** What became of an order. */
 export type EndpointOutcome =
     /** Not a byte of it was written. */
     | { type: "Unreached"; reason: string; }
-    /** The endpoint's own word that it hasn't run and won't. */
-    | {
-        type: "Refused";
-        reason: RefusalReason;
-        retryAfter: Milliseconds | undefined;
-        coldFor: Milliseconds | undefined;
-    }
+    | Refusal
     /** It may have run; no whole answer came. */
     | { type: "Broken"; reason: string; }
     | { type: "Answered"; head: AnswerHead; body: Buffer; }
