One way to split an address and to read a body; no decoded field that nothing reads

Cause: the last reading found host:port split in six places, two ways to read a body, and a refusal's retry time that was decoded and never read. Change: utils/address, collectBody behind readBody; the field is gone, since a second send goes to another endpoint at once and never waits for the first. Ruled out: destroying a server's connection on a body over the limit (tried; badInput 'body over the limit' failed, as the refusal could not be written).

--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -9,6 +9,7 @@
 import { ForwardingEntry } from "../../../src/adapters/forwarding/forwardingEntry.js";
 import { PassEngine } from "../../../src/standins/passEngineModel.js";
 import { type EngineProfile, PlacementPolicy } from "../../../src/types/routing.js";
+import { splitAddress } from "../../../src/utils/address.js";
 import { systemClock } from "../../../src/utils/clock.js";
 import { LogLevel, type PartLog } from "../../../src/utils/log.js";
 import { seededRandom } from "../../../src/utils/random.js";
@@ -239,10 +240,8 @@
 export const call = (address: string, target: string, options: CallerOptions = {}): Promise<CallerAnswer> =>
     new Promise((resolve, reject) => {
         const begun = Date.now();
-        const separator = address.lastIndexOf(":");
         const request = http.request({
-            host: address.slice(0, separator),
-            port: Number(address.slice(separator + 1)),
+            ...splitAddress(address),
             method: options.method ?? "POST",
             path: target,
             agent: false,
@@ -276,8 +275,8 @@
 /** Sends bytes as they are, and resolves with all that comes back until the connection closes. */
 export const sendRaw = (address: string, bytes: string, closeAfter = 2_500): Promise<string> =>
     new Promise(resolve => {
-        const separator = address.lastIndexOf(":");
-        const socket = net.connect(Number(address.slice(separator + 1)), address.slice(0, separator));
+        const { host, port } = splitAddress(address);
+        const socket = net.connect(port, host);
         let text = "";
         socket.on("data", chunk => {
             text += chunk.toString("latin1");
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -5,6 +5,7 @@
 import type { RouteTable } from "../../core/configuration/routeTable.js";
 import { Execution, FailureKind, RequestFailure } from "../../core/failures.js";
 import type { AnswerHead, CallerExchange, CallerHead } from "../../ports/forwardingPorts.js";
+import { splitAddress } from "../../utils/address.js";
 import { BodyTooSlowError, collectBody } from "../../utils/bodies.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { BodyTooLargeError, DandelionrampError, describeError } from "../../utils/errors.js";
@@ -59,11 +60,10 @@
 
     /** Listens on `host:port`; resolves with the real address. Rejects when it can't be had. */
     listen(address: string): Promise<string> {
-        const separator = address.lastIndexOf(":");
-        const host = address.slice(0, separator);
+        const { host, port } = splitAddress(address);
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen(Number(address.slice(separator + 1)), host, () => {
+            this.server.listen(port, host, () => {
                 this.server.off("error", reject);
                 resolve(`${host}:${(this.server.address() as AddressInfo).port}`);
             });
@@ -154,8 +154,8 @@
             throw bodyFailure(new BodyTooLargeError(limitBytes));
         }
         try {
-            const limits = { bytes: limitBytes, time: this.bodyTimeout() };
-            return await collectBody(this.request, limits, this.parts.clock);
+            const time = { limit: this.bodyTimeout(), clock: this.parts.clock };
+            return await collectBody(this.request, { bytes: limitBytes, time });
         }
         catch (error) {
             throw bodyFailure(error);
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -8,6 +8,7 @@
     StreamBrokenError,
     type StreamEvent,
 } from "../../ports/forwardingPorts.js";
+import { splitAddress } from "../../utils/address.js";
 import { collectBody } from "../../utils/bodies.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { describeError } from "../../utils/errors.js";
@@ -98,10 +99,8 @@
 
     private open(agent: http.Agent): http.ClientRequest {
         const { request, endpoint, mayReuseConnection } = this.order;
-        const separator = endpoint.address.lastIndexOf(":");
         return http.request({
-            host: endpoint.address.slice(0, separator),
-            port: Number(endpoint.address.slice(separator + 1)),
+            ...splitAddress(endpoint.address),
             method: request.method,
             path: request.target,
             headers: this.wire.orderHeaders(this.order),
@@ -141,7 +140,6 @@
             this.settle({
                 type: "Refused",
                 reason: status === misdirected ? RefusalReason.WrongEndpoint : RefusalReason.Busy,
-                retryAfter: facts.retryAfter,
                 coldFor: facts.coldFor,
                 atFault: facts.atFault,
             });
@@ -207,7 +205,7 @@
     }
 
     private async readWhole(response: http.IncomingMessage): Promise<Buffer> {
-        const body = await collectBody(response, { bytes: answerBytesAtMost, time: undefined }, this.clock);
+        const body = await collectBody(response, { bytes: answerBytesAtMost });
         this.checkWhole(response);
         return body;
     }
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -3,6 +3,7 @@
 import dgram from "node:dgram";
 import { z } from "zod";
 import type { PeerMessage, PeerNewsPort } from "../../ports/peerNewsPort.js";
+import { splitAddress } from "../../utils/address.js";
 import { describeError } from "../../utils/errors.js";
 import type { PartLog } from "../../utils/log.js";
 
@@ -57,11 +58,10 @@
 
     /** Takes datagrams at `host:port`; resolves with the real address. Rejects when it can't be had. */
     listen(address: string): Promise<string> {
-        const separator = address.lastIndexOf(":");
-        const host = address.slice(0, separator);
+        const { host, port } = splitAddress(address);
         return new Promise((resolve, reject) => {
             this.socket.once("error", reject);
-            this.socket.bind(Number(address.slice(separator + 1)), host, () => {
+            this.socket.bind(port, host, () => {
                 this.socket.off("error", reject);
                 resolve(`${host}:${this.socket.address().port}`);
             });
@@ -84,8 +84,8 @@
             return Promise.resolve();
         }
         for (const address of this.addresses) {
-            const separator = address.lastIndexOf(":");
-            this.socket.send(bytes, Number(address.slice(separator + 1)), address.slice(0, separator), error => {
+            const { host, port } = splitAddress(address);
+            this.socket.send(bytes, port, host, error => {
                 if (error) {
                     this.noteFailure(error);
                 }
--- a/src/adapters/forwarding/wireNames.ts
+++ b/src/adapters/forwarding/wireNames.ts
@@ -13,7 +13,6 @@
     signed: boolean;
     /** The endpoint's word that it hasn't run the request. */
     notRun: boolean;
-    retryAfter: Milliseconds | undefined;
     /** Identifier or address of the endpoint that a refusal is due to. */
     atFault: string | undefined;
     coldFor: Milliseconds | undefined;
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -83,7 +83,6 @@
 export interface Refusal {
     type: "Refused";
     reason: RefusalReason;
-    retryAfter: Milliseconds | undefined;
     coldFor: Milliseconds | undefined;
     /** Identifier or address of the endpoint that it is due to, where the refusal says so. */
     atFault: string | undefined;
--- a/src/utils/bodies.ts
+++ b/src/utils/bodies.ts
@@ -16,12 +16,12 @@
 /** Bounds of a body. */
 export interface BodyLimits {
     bytes: number;
-    /** For the whole body; undefined where something else bounds it. */
-    time: Milliseconds | undefined;
+    /** For the whole body; left out where something else bounds it. */
+    time?: { limit: Milliseconds; clock: Clock; };
 }
 
 /** Resolves with the body once it is whole. Rejects with the errors of this module or {@link BodyTooLargeError}. */
-export const collectBody = (message: IncomingMessage, limits: BodyLimits, clock: Clock): Promise<Buffer> =>
+export const collectBody = (message: IncomingMessage, limits: BodyLimits): Promise<Buffer> =>
     new Promise((resolve, reject) => {
         const chunks: Buffer[] = [];
         const finished = new AbortController();
@@ -40,14 +40,20 @@
             chunks.push(chunk);
         };
         message.on("data", take);
-        message.once("end", () => finish(() => resolve(Buffer.concat(chunks))));
+        message.once("end", () => {
+            if (message.complete) {
+                finish(() => resolve(Buffer.concat(chunks)));
+                return;
+            }
+            finish(() => reject(new BodyCutError("its connection closed")));
+        });
         message.once("error", error => finish(() => reject(new BodyCutError(describeError(error)))));
         message.once("close", () => finish(() => reject(new BodyCutError("its connection closed"))));
         const { time } = limits;
         if (time !== undefined) {
-            void clock.sleep(time, finished.signal).then(() => {
+            void time.clock.sleep(time.limit, finished.signal).then(() => {
                 if (!finished.signal.aborted) {
-                    finish(() => reject(new BodyTooSlowError(time)));
+                    finish(() => reject(new BodyTooSlowError(time.limit)));
                 }
             });
         }
--- a/src/utils/httpClient.ts
+++ b/src/utils/httpClient.ts
@@ -1,5 +1,7 @@
 /** Outgoing HTTP over Node's `http`, with a plain answer to the question whether a request may have been read. */
 import http from "node:http";
+import { splitAddress } from "./address.js";
+import { collectBody } from "./bodies.js";
 import { BodyTooLargeError, describeError, ExchangeError } from "./errors.js";
 
 /** One outgoing request. */
@@ -24,11 +26,6 @@
 
 const sharedAgent = new http.Agent({ keepAlive: true, maxSockets: 512, maxFreeSockets: 32 });
 
-const splitAddress = (address: string): { host: string; port: number; } => {
-    const separator = address.lastIndexOf(":");
-    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-};
-
 const requestHeaders = (request: OutgoingRequest): http.OutgoingHttpHeaders => {
     const length = request.body === undefined ? undefined : Buffer.byteLength(request.body);
     return { ...request.headers, ...(length === undefined ? {} : { "content-length": length }) };
@@ -69,18 +66,13 @@
         outgoing.end(request.body);
     });
 
-/** Reads a body to its end. Throws {@link BodyTooLargeError} over `limitBytes`, {@link ExchangeError} when cut. */
+/**
+ * Reads a body to its end. Throws {@link BodyTooLargeError} over `limitBytes`, {@link ExchangeError} when cut. The
+ * connection stays open either way: a server still has to answer on it.
+ */
 export const readBody = async (body: http.IncomingMessage, limitBytes: number): Promise<Buffer> => {
-    const chunks: Buffer[] = [];
-    let size = 0;
     try {
-        for await (const chunk of body as AsyncIterable<Buffer>) {
-            size += chunk.length;
-            if (size > limitBytes) {
-                throw new BodyTooLargeError(limitBytes);
-            }
-            chunks.push(chunk);
-        }
+        return await collectBody(body, { bytes: limitBytes });
     }
     catch (error) {
         if (error instanceof BodyTooLargeError) {
@@ -88,10 +80,6 @@
         }
         throw new ExchangeError(`the body was cut: ${describeError(error)}`, true, { cause: error });
     }
-    if (!body.complete) {
-        throw new ExchangeError("the body was cut", true);
-    }
-    return Buffer.concat(chunks);
 };
 
 /** An answer with its JSON body. */
@@ -103,6 +91,16 @@
 
 const jsonAnswerLimitBytes = 32 * 1024 * 1024;
 
+const readText = async (body: http.IncomingMessage): Promise<string> => {
+    try {
+        return (await readBody(body, jsonAnswerLimitBytes)).toString("utf8");
+    }
+    catch (error) {
+        body.destroy();
+        throw error;
+    }
+};
+
 /** Sends `value` as JSON and reads a JSON answer. Throws {@link ExchangeError}. */
 export const exchangeJson = async (
     request: Omit<OutgoingRequest, "body">,
@@ -113,7 +111,7 @@
         headers: { ...request.headers, ...(value === undefined ? {} : { "content-type": "application/json" }) },
         body: value === undefined ? undefined : JSON.stringify(value),
     });
-    const text = (await readBody(answer.body, jsonAnswerLimitBytes)).toString("utf8");
+    const text = await readText(answer.body);
     try {
         return { status: answer.status, headers: answer.headers, value: text === "" ? undefined : JSON.parse(text) };
     }
--- a/src/utils/httpServer.ts
+++ b/src/utils/httpServer.ts
@@ -1,6 +1,7 @@
 /** Incoming HTTP over Node's `http`: listening, JSON answers, and stopping. */
 import http from "node:http";
 import { AddressInfo } from "node:net";
+import { splitAddress } from "./address.js";
 import { Clock, Milliseconds } from "./clock.js";
 
 /** A listening server and the address it got. */
@@ -35,14 +36,12 @@
         server.requestTimeout = 0;
         server.keepAliveTimeout = 60_000;
         server.once("error", reject);
-        const separator = address.lastIndexOf(":");
-        const host = address.slice(0, separator);
-        server.listen(Number(address.slice(separator + 1)), host, () => {
+        const { host, port } = splitAddress(address);
+        server.listen(port, host, () => {
             server.off("error", reject);
-            const { port } = server.address() as AddressInfo;
             resolve({
                 server,
-                address: `${host}:${port}`,
+                address: `${host}:${(server.address() as AddressInfo).port}`,
                 close: () => closeServer(server),
                 finish: (clock, limit) => finishServer(server, clock, limit),
             });
