Prompts above one engine's memory, and long reads by the team that loses least

Long reads took idle endpoints only, however few there were. Change: memory is set aside on several endpoints, all or nothing, for 1.9 s at a time and renewed while used; readers are chosen by what is lost there, by short prompts that come meanwhile, and by the prompt itself. A silent endpoint is left when another may take the request. requestTask is split: overload, sender. Ruled out: waiting for memory at the endpoint (it admits nobody else meanwhile).

--- /dev/null
+++ b/__tests__/forwarding/largePrompts.test.ts
@@ -0,0 +1,147 @@
+/** Prompts larger than the memory of one engine: set aside on several, all or nothing, and given back on every way out. */
+import { afterEach, beforeEach, expect, test } from "vitest";
+import type { ReplicaServer } from "../../platform/standins/replicaServer.js";
+import { call, eventIds, generation, Site, type SiteEntry, until } from "./support/site.js";
+
+let site: Site;
+let replicas: ReplicaServer[];
+
+const overMemory = generation(150_000, 20);
+
+beforeEach(async () => {
+    site = new Site();
+    replicas = [];
+    for (const id of ["m-1", "m-2", "m-3"]) {
+        replicas.push(await site.replica(id, "models"));
+    }
+    site.configure(1);
+});
+
+afterEach(() => site.close());
+
+const reservations = (): number =>
+    [...site.engines.values()].reduce((sum, { reservations: { size } }) => sum + size, 0);
+
+const noneLeft = () => until(() => reservations() === 0);
+
+const ask = (entry: SiteEntry, signal?: AbortSignal) =>
+    call(entry.callers, "/replies/a", {
+        headers: { ...overMemory, "dandelionramp-deadline-ms": "5000" },
+        signal,
+    });
+
+test("prompt over one engine's memory is read by a team", async () => {
+    const entry = await site.start("entry-1");
+    const answer = await ask(entry);
+    expect(answer.status).toBe(200);
+    expect(eventIds(answer.body)).toEqual([1, 2, 3, 4, 5]);
+    const ordered = replicas.flatMap(({ orders }) => orders).filter(({ operation }) => operation === "reserve");
+    expect(ordered.reduce((sum, { tokens }) => sum + (tokens ?? 0), 0)).toBeGreaterThan(150_000);
+    await noneLeft();
+});
+
+test("two entries ask for the same memory at once", async () => {
+    // Each of two long prompts needs two of three engines. If each held one and waited for the other's, neither would ever
+    // be answered, and the engines would be lost to everybody else.
+    const entries = await Promise.all([site.start("entry-1"), site.start("entry-2")]);
+    const answers = await Promise.all(entries.map(entry => ask(entry)));
+    expect(answers.map(({ status }) => status)).toEqual([200, 200]);
+    await noneLeft();
+});
+
+test("one engine refuses its part", async () => {
+    // Another entry's work took the memory a moment before. The parts that were had must not stay set aside.
+    const entry = await site.start("entry-1");
+    let refusals = 2;
+    for (const replica of replicas) {
+        replica.orderFault = ({ operation }, response) => {
+            if (operation !== "reserve" || refusals === 0) {
+                return false;
+            }
+            refusals--;
+            response.writeHead(409).end("{}");
+            return true;
+        };
+    }
+    expect((await ask(entry)).status).toBe(200);
+    await noneLeft();
+});
+
+test("reservation without an answer", async () => {
+    // The engine sets the memory aside and its answer is lost. Nobody would ever use or free it.
+    const entry = await site.start("entry-1");
+    let lost = 1;
+    for (const [index, replica] of replicas.entries()) {
+        const engine = [...site.engines.values()][index]!;
+        replica.orderFault = ({ operation, id, tokens }, response) => {
+            if (operation !== "reserve" || lost === 0) {
+                return false;
+            }
+            lost--;
+            engine.reserve(id, tokens ?? 0, 1_900, false);
+            response.destroy();
+            return true;
+        };
+    }
+    expect((await ask(entry)).status).toBe(200);
+    await noneLeft();
+});
+
+test("caller leaves while its prompt is read", async () => {
+    const entry = await site.start("entry-1");
+    const leaving = new AbortController();
+    const asked = ask(entry, leaving.signal).catch(() => undefined);
+    await until(() => replicas.some(({ arrivals }) => arrivals.length > 0));
+    expect(reservations()).toBeGreaterThan(0);
+    leaving.abort();
+    await asked;
+    await noneLeft();
+});
+
+test("entry dies while its prompt is read", async () => {
+    // Nobody is left to give the memory back. It lapses by itself, since it was only held for two seconds at a time.
+    const entry = await site.start("entry-1");
+    for (const replica of replicas) {
+        replica.fault = () => true;
+    }
+    const asked = ask(entry).catch(() => undefined);
+    await until(() => replicas.some(({ arrivals }) => arrivals.length > 0));
+    for (const replica of replicas) {
+        replica.orderFault = (order, response) => {
+            response.destroy();
+            return true;
+        };
+    }
+    await entry.entry.close();
+    await asked;
+    expect(reservations()).toBeGreaterThan(0);
+    await until(() => {
+        for (const engine of site.engines.values()) {
+            expect(engine.memoryUsed).toBeGreaterThanOrEqual(0);
+        }
+        return reservations() === 0;
+    });
+});
+
+test("more than all engines hold", async () => {
+    // Refused at once, with the time to come back, and nothing set aside.
+    const entry = await site.start("entry-1");
+    const answer = await call(entry.callers, "/replies/a", { headers: generation(400_000, 20) });
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
+    expect(replicas.flatMap(({ orders }) => orders)).toEqual([]);
+});
+
+test("memory is renewed while an answer is written", async () => {
+    // The answer takes longer than memory is held at a time. Without renewals the engine would cut it in the middle.
+    site.configure(2, { replies: { timeout_ms: 10_000 } });
+    const entry = await site.start("entry-1");
+    const answer = await call(entry.callers, "/replies/a", {
+        headers: { ...generation(150_000, 3_000), "dandelionramp-deadline-ms": "10000" },
+    });
+    expect(answer.status).toBe(200);
+    expect(eventIds(answer.body)).toHaveLength(750);
+    // A cut answer would go on at another engine, and be whole all the same.
+    expect(replicas.flatMap(({ arrivals }) => arrivals)).toHaveLength(1);
+    await noneLeft();
+});
--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -2,6 +2,7 @@
 import http from "node:http";
 import net from "node:net";
 import { platformWire } from "../../../platform/forwardingWire.js";
+import { ReplicaOrders } from "../../../platform/replicaOrders.js";
 import { ReplicaServer } from "../../../platform/standins/replicaServer.js";
 import { type StoreDoor, StoreServer } from "../../../platform/standins/storeServer.js";
 import { StoreClient } from "../../../platform/storeClient.js";
@@ -164,6 +165,7 @@
             clock: systemClock,
             random: seededRandom(1),
             store: new StoreClient(door.address, systemClock),
+            memory: new ReplicaOrders(systemClock, this.partLog(id, "memory")),
             wire: platformWire,
             log: part => this.partLog(id, part),
         });
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -10,6 +10,7 @@
 import { type EndpointLoad, LoadView } from "../../core/placement/loadView.js";
 import { Placer } from "../../core/placement/placer.js";
 import { SharedLoads } from "../../core/placement/sharedLoads.js";
+import type { MemoryPort } from "../../ports/memoryPort.js";
 import type { PeerIdentity } from "../../ports/peerNewsPort.js";
 import { StateKind, type StatePort } from "../../ports/statePort.js";
 import type { RoutingConfiguration } from "../../types/routing.js";
@@ -46,6 +47,7 @@
     clock: Clock;
     random: Random;
     store: StatePort;
+    memory: MemoryPort;
     wire: ForwardingWire;
     log: (part: string) => PartLog;
 }
@@ -83,6 +85,7 @@
             configuration: this.configuration,
             directory: this.directory,
             endpoints: new EndpointClient(wire, clock),
+            memory: parts.memory,
             placer: new Placer(view, failures, settings.placement.policy),
             loads: this.loads,
             failures,
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -2,6 +2,7 @@
 import { JSONRPCClient, type JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
 import dgram from "node:dgram";
 import { z } from "zod";
+import { WorkPart } from "../../core/placement/loadView.js";
 import type { PeerMessage, PeerNewsPort } from "../../ports/peerNewsPort.js";
 import { splitAddress } from "../../utils/address.js";
 import { describeError } from "../../utils/errors.js";
@@ -19,7 +20,7 @@
     targetGap: z.number().optional(),
     value: z.number(),
     yielding: z.boolean(),
-    helping: z.boolean(),
+    part: z.enum(WorkPart),
     endsIn: z.number(),
 });
 
--- a/src/core/budgets/repeatBudget.ts
+++ b/src/core/budgets/repeatBudget.ts
@@ -36,16 +36,20 @@
         this.window(this.requests, service).add();
     }
 
-    /** Takes one repeat; false when the budget is spent. */
-    take(service: string): boolean {
+    /** Whether one more repeat may be taken. */
+    available(service: string): boolean {
         const requests = this.window(this.requests, service).count();
         const { share, extra } = this.limits();
         const allowed = usedPart * (share * requests + extra / this.entries());
-        const repeats = this.window(this.repeats, service);
-        if (repeats.count() + 1 > allowed) {
+        return this.window(this.repeats, service).count() + 1 <= allowed;
+    }
+
+    /** Takes one repeat; false when the budget is spent. */
+    take(service: string): boolean {
+        if (!this.available(service)) {
             return false;
         }
-        repeats.add();
+        this.window(this.repeats, service).add();
         return true;
     }
 
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -1,5 +1,6 @@
 /** Forwards callers' requests: one task a request, from its head to the last byte of its answer. */
 import type { CallerExchange, EndpointPort } from "../../ports/forwardingPorts.js";
+import type { MemoryPort } from "../../ports/memoryPort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
 import type { Random } from "../../utils/random.js";
@@ -25,6 +26,7 @@
     configuration: ActiveConfiguration;
     directory: EndpointDirectory;
     endpoints: EndpointPort;
+    memory: MemoryPort;
     placer: Placer;
     loads: SharedLoads;
     failures: FailureView;
--- /dev/null
+++ b/src/core/forwarding/overload.ts
@@ -0,0 +1,69 @@
+/**
+ * Which requests are turned away at once, and when their callers should come back.
+ *
+ * Load pattern: more arrives than the endpoints can do, or this entry is about to stop. Work that nobody will wait for
+ * only holds up others, and a caller who is told at once can ask again in time.
+ */
+import { RequestKind, type Route } from "../../types/routing.js";
+import type { Milliseconds } from "../../utils/clock.js";
+import { FailureKind } from "../failures.js";
+
+/** When to come back after an endpoint was too busy: the time of a few short requests. */
+export const busyRetrySeconds = 0.25;
+/** When to come back while a service has no endpoint that may get work: about a heartbeat of the endpoints. */
+export const noEndpointRetrySeconds = 1;
+/** When to come back to another entry: at once, but not in step with all others. */
+const stoppingRetrySeconds = 0.1;
+/** Callers wait for an event for the longest of: a time, so many targets of the first event, so many of pauses. */
+const patienceAtLeast: Milliseconds = 2_000;
+const patienceTargets = 4;
+const patienceGaps = 8;
+/** Predictions of a whole answer are passed by this much in nine of ten; pauses grow with reads beside it. */
+const stopCaution = 2;
+
+/** Why a request is turned away, and when its caller should come back. */
+export interface Rejection {
+    kind: FailureKind;
+    detail: string;
+    retryAfterSeconds: number;
+}
+
+/** How long callers of a route wait for the next event, or for a plain answer. */
+export const patienceOf = (route: Route): Milliseconds =>
+    route.kind === RequestKind.Streaming
+        ? Math.max(patienceAtLeast, patienceTargets * route.targetLatency, patienceGaps * (route.targetGap ?? 0))
+        : route.timeout;
+
+/**
+ * A stopping entry may still get requests, when all entries of its data centre stop and the balancer knows no other. One
+ * that can't end before this entry does would be cut in the middle; refused at once, its caller finds another entry.
+ */
+export const rejectBeforeStop = (whole: Milliseconds, leftBeforeStop: Milliseconds): Rejection | undefined =>
+    stopCaution * whole > leftBeforeStop
+        ? {
+            kind: FailureKind.Stopping,
+            detail: "this entry stops before the answer could be whole",
+            retryAfterSeconds: stoppingRetrySeconds,
+        }
+        : undefined;
+
+/**
+ * Callers give a stream up when its first event takes too long. Work that would be given up before it begins is refused
+ * at once; its caller comes back when what it would have waited for is done.
+ */
+export const rejectHopeless = (
+    route: Route,
+    firstEvent: Milliseconds,
+    waited: Milliseconds,
+    timeLeft: Milliseconds,
+): Rejection | undefined => {
+    if (route.kind !== RequestKind.Streaming || waited + firstEvent <= Math.min(patienceOf(route), timeLeft)) {
+        return undefined;
+    }
+    const comeBack = Math.max(busyRetrySeconds, (firstEvent - route.targetLatency) / 1_000);
+    return {
+        kind: FailureKind.Overloaded,
+        detail: `the first event would take ${Math.round(firstEvent)} ms`,
+        retryAfterSeconds: Math.round(comeBack * 100) / 100,
+    };
+};
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -2,43 +2,42 @@
 import type {
     AnswerHead,
     CallerExchange,
-    EndpointOutcome,
     ForwardedRequest,
     Refusal,
     StreamEvent,
 } from "../../ports/forwardingPorts.js";
 import { RefusalReason, StreamBrokenError } from "../../ports/forwardingPorts.js";
-import { RequestKind } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import { describeError } from "../../utils/errors.js";
 import { Execution, FailureKind, RequestFailure } from "../failures.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
-import { type Placement, valueOf } from "../placement/placer.js";
+import type { Placement } from "../placement/placer.js";
 import type { Admission } from "./admission.js";
 import type { ForwardingParts } from "./forwarder.js";
+import { busyRetrySeconds, noEndpointRetrySeconds, patienceOf, rejectBeforeStop, rejectHopeless } from "./overload.js";
+import { type DispatchOutcome, Sender } from "./sender.js";
 
 /**
  * Endpoints that can't be reached are passed over this often; each costs the wait for a connection. They got nothing, so
  * they don't count as attempts.
  */
 const unreachedAtMost = 4;
-/** When to come back after an endpoint was too busy: the time of a few short requests. */
-const busyRetrySeconds = 0.25;
-/** When to come back while a service has no endpoint that may get work: about a heartbeat of the endpoints. */
-const noEndpointRetrySeconds = 1;
-/** When to come back to another entry: at once, but not in step with all others. */
-const stoppingRetrySeconds = 0.1;
-/** Callers wait for an event for the longest of: a time, so many targets of the first event, so many of pauses. */
-const patienceAtLeast: Milliseconds = 2_000;
-const patienceTargets = 4;
-const patienceGaps = 8;
-/** Predictions of a whole answer are passed by this much in nine of ten; pauses grow with reads beside it. */
-const stopCaution = 2;
 /** An order needs at least this much time to be worth sending. */
 const leastTimeToSend: Milliseconds = 20;
+/**
+ * Part of a caller's patience after which a silent endpoint is left: late enough for predictions that are off by a few
+ * times, early enough for another endpoint to answer before the caller gives up.
+ */
+const silentPart = 0.5;
+/** Predictions are passed by less than this in all but a few cases, so a longer silence says that something is wrong. */
+const silenceCaution = 3;
+/**
+ * Pause before memory is asked for again: random, so that two entries that took it from one another don't meet again.
+ * About the time in which a prompt of usual length is read.
+ */
+const memoryPauseAtLeast: Milliseconds = 50;
+const memoryPauseSpread: Milliseconds = 150;
 const firstFailureStatus = 500;
-/** The highest number of an endpoint's ranks. */
-const lastRank = 9;
 
 interface KeptAnswer {
     head: AnswerHead;
@@ -50,11 +49,18 @@
     private readonly broken = new Set<string>();
     private readonly refused = new Set<string>();
     private readonly ending = new AbortController();
+    /** Endpoints that were sent the request and may have taken it. */
     private sends = 0;
+    /** Sends, those that reached nobody included. */
+    private tries = 0;
     private unreached = 0;
     private mayHaveRun = false;
     private begun = false;
     private lastEvent: string | undefined;
+    /** Times of events, since the arrival. */
+    private firstEventAfter: Milliseconds | undefined;
+    private eventAt: Milliseconds | undefined;
+    private longestPause: Milliseconds = 0;
     /** An endpoint's own failure, to be passed on when no other send does better. */
     private kept: KeptAnswer | undefined;
 
@@ -101,10 +107,14 @@
     }
 
     /** Acts on an outcome and tells whether the request is done. */
-    private async settle(endpoint: KnownEndpoint, outcome: EndpointOutcome): Promise<boolean> {
+    private async settle(endpoint: KnownEndpoint, outcome: DispatchOutcome): Promise<boolean> {
         const { failures } = this.parts;
         const { id } = endpoint.record;
         switch (outcome.type) {
+            case "NoMemory":
+                this.sends--;
+                await this.pauseForMemory();
+                return false;
             case "Unreached":
                 failures.lost(id);
                 this.refused.add(id);
@@ -137,6 +147,11 @@
         }
     }
 
+    private pauseForMemory(): Promise<void> {
+        const { clock, random } = this.parts;
+        return clock.sleep(memoryPauseAtLeast + random.next() * memoryPauseSpread, this.ending.signal);
+    }
+
     /**
      * Notes whose fault a refusal is. An endpoint whose helper is gone refuses in its place; without a look at whom it names,
      * the dead helper would be chosen for the next long prompts too, and each would be refused.
@@ -205,7 +220,8 @@
         }
         this.parts.failures.succeeded(endpoint.record.id);
         this.exchange.end();
-        this.note("Streamed.", endpoint, { status: head.status, lastEvent: this.lastEvent });
+        const { lastEvent, firstEventAfter, longestPause } = this;
+        this.note("Streamed.", endpoint, { status: head.status, lastEvent, firstEventAfter, longestPause });
         return true;
     }
 
@@ -221,6 +237,7 @@
                 this.parts.loads.writes(endpoint.record.id, this.request.id);
             }
             this.checkOrder(event);
+            this.noteEvent();
             if (!this.begun) {
                 this.begun = true;
                 this.exchange.begin(head);
@@ -234,6 +251,13 @@
         }
     }
 
+    private noteEvent(): void {
+        const now = Math.round(this.parts.clock.now() - this.request.arrivedAt);
+        this.firstEventAfter ??= now;
+        this.longestPause = Math.max(this.longestPause, now - (this.eventAt ?? now));
+        this.eventAt = now;
+    }
+
     /**
      * Events come in the order of their identifiers. A late answer to an earlier run, or one that a faulty endpoint
      * repeats, would reach the caller as events twice or out of order.
@@ -245,11 +269,9 @@
     }
 
     private choose(): Placement {
-        const { directory, placer, cold, clock, dataCentre } = this.parts;
+        const { placer, clock, dataCentre } = this.parts;
         const { service, route } = this.admission;
-        const candidates = directory.usable(service.name).filter(({ record, coldUntil }) =>
-            clock.now() >= coldUntil || cold.allows(record.id, service.coldRequestsPerSecond)
-        );
+        const waited = clock.now() - this.request.arrivedAt;
         const placement = placer.place(
             {
                 service,
@@ -257,119 +279,82 @@
                 answerTokens: this.request.size?.answerTokensAtMost ?? 0,
                 targetLatency: route.targetLatency,
                 targetGap: route.targetGap,
-                targetLeft: route.targetLatency - (clock.now() - this.request.arrivedAt),
+                targetLeft: route.targetLatency - waited,
+                patienceLeft: Math.min(patienceOf(route) - waited, this.timeLeft),
                 dataCentre,
                 broken: this.broken,
                 refused: this.refused,
             },
-            candidates,
+            this.candidates(),
         );
         if (!placement) {
             const detail = `no endpoint of ${service.name} may get work`;
             throw this.failure(FailureKind.NoEndpoint, detail, noEndpointRetrySeconds);
         }
-        this.checkStop(placement);
-        this.checkPatience(placement);
+        this.checkWorth(placement, waited);
         return placement;
     }
 
-    /**
-     * A stopping entry may still get requests, when all entries of its data centre stop and the balancer knows no other.
-     * One that can't end before this entry does would be cut in the middle; refused at once, its caller finds another entry.
-     */
-    private checkStop({ whole }: Placement): void {
-        const endsAt = this.parts.endsAt();
-        if (endsAt !== undefined && this.sends === 0 && this.parts.clock.now() + stopCaution * whole > endsAt) {
-            const detail = "this entry stops before the answer could be whole";
-            throw this.failure(FailureKind.Stopping, detail, stoppingRetrySeconds);
-        }
+    private candidates(): readonly KnownEndpoint[] {
+        const { directory, cold, clock } = this.parts;
+        const { service } = this.admission;
+        return directory.usable(service.name).filter(({ record, coldUntil }) =>
+            clock.now() >= coldUntil || cold.allows(record.id, service.coldRequestsPerSecond)
+        );
     }
 
-    /**
-     * Callers give a stream up when its first event takes too long. Under a load beyond the endpoints' strength, work that
-     * would be given up before it begins only holds up others; refused at once, its caller knows when to come back.
-     */
-    private checkPatience({ firstEvent }: Placement): void {
-        const { route } = this.admission;
-        if (route.kind !== RequestKind.Streaming || this.sends > 0 || this.begun) {
+    /** Turns a request away that was not sent yet and can't end in time. */
+    private checkWorth({ whole, firstEvent }: Placement, waited: Milliseconds): void {
+        if (this.sends > 0 || this.begun) {
             return;
         }
-        const patience = Math.max(
-            patienceAtLeast,
-            patienceTargets * route.targetLatency,
-            patienceGaps * (route.targetGap ?? 0),
-        );
-        const waited = this.parts.clock.now() - this.request.arrivedAt;
-        if (waited + firstEvent > Math.min(patience, this.timeLeft)) {
-            const detail = `the first event would take ${Math.round(firstEvent)} ms`;
-            const comeBack = Math.max(busyRetrySeconds, (firstEvent - route.targetLatency) / 1_000);
-            throw this.failure(FailureKind.Overloaded, detail, Math.round(comeBack * 100) / 100);
+        const endsAt = this.parts.endsAt();
+        const rejection = (endsAt === undefined ? undefined : rejectBeforeStop(whole, endsAt - this.parts.clock.now()))
+            ?? rejectHopeless(this.admission.route, firstEvent, waited, this.timeLeft);
+        if (rejection) {
+            throw this.failure(rejection.kind, rejection.detail, rejection.retryAfterSeconds);
         }
     }
 
-    private async send(placement: Placement): Promise<EndpointOutcome> {
-        const { loads, cold, endpoints } = this.parts;
-        const { route, customer } = this.admission;
-        const { endpoint, helpers } = placement;
-        const used = [endpoint, ...helpers].map(({ record }) => record.id);
-        loads.place(this.works(placement));
-        cold.note(endpoint.record.id);
+    private async send(placement: Placement): Promise<DispatchOutcome> {
+        const { endpoint, helpers, shares, firstEvent } = placement;
+        this.sends++;
+        this.tries++;
         this.note("Sent.", endpoint, {
-            route: route.name,
+            route: this.admission.route.name,
             version: this.admission.version,
             promptTokens: this.request.size?.promptTokens,
             helpers: helpers.length,
-            predicted: Math.round(placement.firstEvent),
+            reservations: shares.length,
+            predicted: Math.round(firstEvent),
             timeLeft: Math.round(this.timeLeft),
         });
-        this.sends++;
-        const outcome = await endpoints.send(
-            {
-                request: this.request,
-                endpoint: endpoint.record,
-                timeLeft: this.timeLeft,
-                customer: customer?.name,
-                priority: placement.yields ? lastRank : Math.min(lastRank - 1, customer?.priority ?? route.priority),
-                resumeAfter: this.lastEvent,
-                helpers: helpers.map(({ record }) => record.address),
-                streaming: route.kind === RequestKind.Streaming,
-                mayReuseConnection: this.admission.repeatable,
+        const patience = silentPart * patienceOf(this.admission.route);
+        return await Sender.send(this.parts, {
+            placement,
+            request: this.request,
+            admission: this.admission,
+            number: this.tries,
+            resumeAfter: this.lastEvent,
+            signal: this.ending.signal,
+            silence: {
+                first: Math.max(patience, silenceCaution * firstEvent),
+                later: patience,
+                mayLeave: () => this.mayLeave(endpoint),
             },
-            this.ending.signal,
-        );
-        if (outcome.type === "Streaming") {
-            return { ...outcome, events: this.endingAt(used, outcome.events) };
-        }
-        loads.end(used, this.request.id);
-        return outcome;
-    }
-
-    /** Passes events through, and notes the work's end however the stream ends. */
-    private async *endingAt(used: readonly string[], events: AsyncIterable<StreamEvent>): AsyncIterable<StreamEvent> {
-        try {
-            yield* events;
-        }
-        finally {
-            this.parts.loads.end(used, this.request.id);
-        }
+        });
     }
 
-    private works({ endpoint, helpers, readTime, yields }: Placement) {
-        const { route } = this.admission;
-        const promptTokens = this.request.size?.promptTokens ?? 0;
-        const work = {
-            id: this.request.id,
-            owner: this.parts.entry,
-            endpoint: endpoint.record.id,
-            contextTokens: promptTokens,
-            readTime,
-            targetGap: route.targetGap,
-            value: valueOf(promptTokens),
-            yielding: yields,
-            helping: false,
-            endsBy: this.admission.deadline,
-        };
-        return [work, ...helpers.map(({ record }) => ({ ...work, endpoint: record.id, helping: true }))];
+    /** Whether a silent endpoint can be left: the request may run again, and another endpoint can take it. */
+    private mayLeave({ record }: KnownEndpoint): boolean {
+        const { service } = this.admission;
+        // An endpoint that reads a long prompt is silent for a while, and no other would be quicker.
+        return this.parts.loads.load(record.id).readBacklog <= 0
+            && this.maySendAgain(this.admission.repeatable)
+            && this.parts.repeats.available(service.name)
+            && this.candidates().some(other =>
+                other.record.id !== record.id && !this.broken.has(other.record.id) && !this.refused.has(other.record.id)
+            );
     }
 
     private passOver(detail: string): void {
@@ -379,9 +364,9 @@
         }
     }
 
-    private maySendAgain(): boolean {
+    private maySendAgain(mayRunAgain = this.admission.repeatable || !this.mayHaveRun): boolean {
         return this.sends < this.admission.route.attempts
-            && (this.admission.repeatable || !this.mayHaveRun)
+            && mayRunAgain
             && this.timeLeft > leastTimeToSend;
     }
 
--- /dev/null
+++ b/src/core/forwarding/sender.ts
@@ -0,0 +1,220 @@
+/** Sends one request to one placement: notes the work, sets memory aside where needed, and watches for silence. */
+import type { EndpointOutcome, ForwardedRequest, StreamEvent } from "../../ports/forwardingPorts.js";
+import { StreamBrokenError } from "../../ports/forwardingPorts.js";
+import { RequestKind } from "../../types/routing.js";
+import type { Milliseconds } from "../../utils/clock.js";
+import { type PlacedWork, WorkPart } from "../placement/loadView.js";
+import { type Placement, valueOf } from "../placement/placer.js";
+import type { Admission } from "./admission.js";
+import type { ForwardingParts } from "./forwarder.js";
+import { MemoryHold } from "./memoryHold.js";
+
+/** The lowest rank that an endpoint knows; work that is late in any case gets it. */
+const lastRank = 9;
+/** Part of the limit after which a silent endpoint is judged again. */
+const askAgainPart = 0.2;
+/** Reservations of one request have names of their own, over all its sends. */
+const reservationName = (requestId: string, send: number, index: number): string => `${requestId}-${send}-${index}`;
+
+/** What is sent. */
+export interface Dispatch {
+    placement: Placement;
+    request: ForwardedRequest;
+    admission: Admission;
+    /** Counts this request's tries to send, those without memory included. */
+    number: number;
+    resumeAfter: string | undefined;
+    /** Cancels the work at the endpoint. */
+    signal: AbortSignal;
+    silence: Silence;
+}
+
+/** When an endpoint's silence ends a send. */
+export interface Silence {
+    /** The longest wait for the first event or the answer, and for each later event. */
+    first: Milliseconds;
+    later: Milliseconds;
+    /** Asked after such a wait: whether the request may go elsewhere now. If not, the wait goes on. */
+    mayLeave: () => boolean;
+}
+
+/** What became of a try to send. */
+export type DispatchOutcome = EndpointOutcome | { type: "NoMemory"; };
+
+/** One try to send. */
+export class Sender {
+    private readonly ending = new AbortController();
+    private hold: MemoryHold | undefined;
+
+    private constructor(private readonly parts: ForwardingParts, private readonly dispatch: Dispatch) {}
+
+    /** Sends, and resolves with what became of it. Notes the end of the work, also of a stream's. */
+    static async send(parts: ForwardingParts, dispatch: Dispatch): Promise<DispatchOutcome> {
+        return await new Sender(parts, dispatch).run();
+    }
+
+    private async run(): Promise<DispatchOutcome> {
+        const { loads, cold } = this.parts;
+        const { placement, signal } = this.dispatch;
+        loads.place(this.works());
+        cold.note(placement.endpoint.record.id);
+        if (!await this.setMemoryAside()) {
+            this.end();
+            return { type: "NoMemory" };
+        }
+        const cancel = () => this.ending.abort();
+        signal.addEventListener("abort", cancel, { once: true });
+        if (signal.aborted) {
+            cancel();
+        }
+        const outcome = await this.untilSilent(this.order(), this.dispatch.silence.first);
+        if (outcome === undefined) {
+            this.end();
+            return { type: "Broken", reason: `silent for ${this.dispatch.silence.first} ms` };
+        }
+        if (outcome.type === "Streaming") {
+            return { ...outcome, events: this.watched(outcome.events) };
+        }
+        this.end();
+        return outcome;
+    }
+
+    private async setMemoryAside(): Promise<boolean> {
+        const { placement, request, number } = this.dispatch;
+        if (placement.shares.length === 0) {
+            return true;
+        }
+        const shares = placement.shares.map(({ endpoint, tokens }, index) => ({
+            reservation: reservationName(request.id, number, index),
+            endpoint: endpoint.record,
+            tokens,
+        }));
+        this.hold = await MemoryHold.gather(this.parts, shares, request.id);
+        return this.hold !== undefined;
+    }
+
+    private order(): Promise<EndpointOutcome> {
+        const { placement, request, admission, resumeAfter, number } = this.dispatch;
+        const { route, customer } = admission;
+        const { clock, endpoints } = this.parts;
+        const reservationOf = new Map(
+            placement.shares.map((
+                { endpoint },
+                index,
+            ) => [endpoint.record.id, reservationName(request.id, number, index)]),
+        );
+        const own = reservationOf.has(placement.endpoint.record.id) ? [placement.endpoint] : [];
+        // Memory is filled in the order in which it is named, so those that hold some go first.
+        const helpers = [...own, ...placement.helpers].map(({ record }) => ({
+            address: record.address,
+            reservation: reservationOf.get(record.id),
+        })).sort((left, right) => Number(right.reservation !== undefined) - Number(left.reservation !== undefined));
+        return endpoints.send(
+            {
+                request,
+                endpoint: placement.endpoint.record,
+                timeLeft: admission.deadline - clock.now(),
+                customer: customer?.name,
+                priority: placement.yields ? lastRank : Math.min(lastRank - 1, customer?.priority ?? route.priority),
+                resumeAfter,
+                helpers,
+                streaming: route.kind === RequestKind.Streaming,
+                mayReuseConnection: admission.repeatable,
+            },
+            this.ending.signal,
+        );
+    }
+
+    /**
+     * Waits for `work`; undefined when it was silent for `limit` and the request may go elsewhere.
+     *
+     * An endpoint or a connection that falls silent says nothing, while its health is good and new connections work. Without
+     * a bound the caller gives up first. The work is cancelled, but only once somebody else can take it: silence alone ends
+     * no answer.
+     */
+    private async untilSilent<Result>(work: Promise<Result>, limit: Milliseconds): Promise<Result | undefined> {
+        const done = new AbortController();
+        const silence = (async () => {
+            for (let wait = limit;; wait = limit * askAgainPart) {
+                await this.parts.clock.sleep(wait, done.signal);
+                if (done.signal.aborted) {
+                    return await new Promise<undefined>(() => {});
+                }
+                if (!this.ending.signal.aborted && this.dispatch.silence.mayLeave()) {
+                    return undefined;
+                }
+            }
+        })();
+        try {
+            const first = await Promise.race([work, silence]);
+            if (first === undefined) {
+                this.ending.abort();
+            }
+            return first;
+        }
+        finally {
+            done.abort();
+        }
+    }
+
+    /** Passes events through; ends the work however the stream ends. */
+    private async *watched(events: AsyncIterable<StreamEvent>): AsyncIterable<StreamEvent> {
+        const iterator = events[Symbol.asyncIterator]();
+        let limit = this.dispatch.silence.first;
+        try {
+            for (;;) {
+                const next = await this.untilSilent(iterator.next(), limit);
+                if (next === undefined) {
+                    throw new StreamBrokenError(`silent for ${limit} ms`);
+                }
+                if (next.done) {
+                    return;
+                }
+                limit = this.dispatch.silence.later;
+                yield next.value;
+            }
+        }
+        finally {
+            // A caller who leaves stops reading here; the endpoint's side ends with the signal.
+            this.ending.abort();
+            void iterator.return?.();
+            this.end();
+        }
+    }
+
+    private end(): void {
+        const { placement, request } = this.dispatch;
+        this.hold?.release();
+        this.hold = undefined;
+        const used = [placement.endpoint, ...placement.helpers].map(({ record }) => record.id);
+        this.parts.loads.end(used, request.id);
+    }
+
+    private works(): PlacedWork[] {
+        const { placement, request, admission } = this.dispatch;
+        const promptTokens = request.size?.promptTokens ?? 0;
+        const held = new Map(placement.shares.map(({ endpoint, tokens }) => [endpoint.record.id, tokens]));
+        const work = {
+            id: request.id,
+            owner: this.parts.entry,
+            readTime: placement.readTime,
+            targetGap: admission.route.targetGap,
+            value: valueOf(promptTokens),
+            yielding: placement.yields,
+            endsBy: admission.deadline,
+        };
+        const main = {
+            ...work,
+            endpoint: placement.endpoint.record.id,
+            contextTokens: held.get(placement.endpoint.record.id) ?? promptTokens,
+            part: WorkPart.Main,
+        };
+        const helping = placement.helpers.map(({ record }) => ({
+            ...work,
+            endpoint: record.id,
+            contextTokens: held.get(record.id) ?? 0,
+            part: held.has(record.id) ? WorkPart.Hold : WorkPart.Read,
+        }));
+        return [main, ...helping];
+    }
+}
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -193,6 +193,6 @@
     targetGap: work.targetGap,
     value: work.value,
     yielding: work.yielding,
-    helping: work.helping,
+    part: work.part,
     endsIn: work.endsBy - now,
 });
--- a/src/core/placement/engineCost.ts
+++ b/src/core/placement/engineCost.ts
@@ -26,6 +26,16 @@
     contextTokens: number,
 ): Milliseconds => Math.ceil(answerTokens / engine.stepsPerPass) * passTime(engine, writers + 1, contextTokens);
 
-/** The most that reading adds to one pass with writers: a chunk in each step. */
-export const readTimePerPassAtMost = (engine: EngineProfile): Milliseconds =>
-    engine.stepsPerPass * engine.chunkTokens / engine.readTokensPerSecond * 1_000;
+/**
+ * What reading a part adds to one pass with writers, behind a backlog. A pass reads a chunk in each step, and each token
+ * of a long prompt takes longer, so one part of a long prompt may stretch a single pass by seconds.
+ */
+export const readTimeInPass = (
+    engine: EngineProfile,
+    part: Milliseconds,
+    partTokens: number,
+    backlog: Milliseconds,
+): Milliseconds => {
+    const tokensInPass = engine.stepsPerPass * engine.chunkTokens;
+    return partTokens === 0 ? 0 : Math.min(backlog + part, part * tokensInPass / partTokens);
+};
--- a/src/core/placement/loadView.ts
+++ b/src/core/placement/loadView.ts
@@ -6,6 +6,16 @@
  */
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 
+/** What of a request an endpoint does. */
+export enum WorkPart {
+    /** All of it, or all but what others read for it. */
+    Main = "main",
+    /** Reads a part of the prompt for another endpoint. */
+    Read = "read",
+    /** Reads a part, and holds a part's memory until the request ends. */
+    Hold = "hold",
+}
+
 /** A request placed at an endpoint. */
 export interface PlacedWork {
     /** Names the attempt over all entries. */
@@ -13,7 +23,7 @@
     /** The entry that placed it. */
     owner: string;
     endpoint: string;
-    /** Context that it holds while it writes, in tokens; 0 for plain services. */
+    /** Memory that it needs here until its end, in tokens; 0 for plain services. */
     contextTokens: number;
     /** Predicted time of reading it at this endpoint. */
     readTime: Milliseconds;
@@ -23,8 +33,7 @@
     value: number;
     /** Whether it lets later requests go first, as it is late in any case. */
     yielding: boolean;
-    /** Whether it only reads a part here for another endpoint. */
-    helping: boolean;
+    part: WorkPart;
     /** When it has ended at the latest. */
     endsBy: Milliseconds;
 }
@@ -38,17 +47,21 @@
 
 /** What is in progress at one endpoint. */
 export interface EndpointLoad {
-    /** Requests of all phases, without helping reads. */
+    /** Requests of all phases, without parts for other endpoints. */
     requests: number;
     /** Those of them that a new request may overtake: they wait and yield. */
     overtakable: number;
-    /** Requests that read, helping reads included. */
+    /** Requests that read, parts for other endpoints included. */
     readers: number;
     writers: number;
-    /** Context of the writers in tokens. */
+    /** Context that each step goes through, in tokens: of the writers, and of parts held for other endpoints. */
     contextTokens: number;
+    /** Memory taken by all that is in progress, in tokens. */
+    memoryTokens: number;
     /** Time until all reading is done. */
     readBacklog: Milliseconds;
+    /** Sum of the values of what reads. */
+    readingValue: number;
     /** Sum of the writers' values, by the pause they tolerate. */
     tolerances: { targetGap: Milliseconds; value: number; }[];
 }
@@ -65,7 +78,9 @@
     readers: 0,
     writers: 0,
     contextTokens: 0,
+    memoryTokens: 0,
     readBacklog: 0,
+    readingValue: 0,
     tolerances: [],
 };
 
@@ -138,7 +153,7 @@
         const now = this.clock.now();
         const load: EndpointLoad = { ...idle, tolerances: [] };
         for (const work of works.values()) {
-            if (now >= work.endsBy || (work.helping && now >= work.readUntil)) {
+            if (now >= work.endsBy || (work.part === WorkPart.Read && now >= work.readUntil)) {
                 works.delete(work.id);
                 continue;
             }
@@ -151,7 +166,17 @@
 const endKey = (endpoint: string, id: string): string => `${endpoint} ${id}`;
 
 const addWork = (load: EndpointLoad, work: Work, now: Milliseconds): void => {
-    load.requests += work.helping ? 0 : 1;
+    if (work.part === WorkPart.Hold) {
+        load.memoryTokens += work.contextTokens;
+        if (now >= work.readUntil) {
+            load.contextTokens += work.contextTokens;
+            return;
+        }
+    }
+    else if (work.part === WorkPart.Main) {
+        load.requests++;
+        load.memoryTokens += work.contextTokens;
+    }
     if (!work.writing) {
         if (work.yielding) {
             load.overtakable++;
@@ -159,6 +184,7 @@
         }
         load.readers++;
         load.readBacklog = Math.max(load.readBacklog, work.readUntil - now);
+        load.readingValue += work.value;
         return;
     }
     load.writers++;
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -8,14 +8,13 @@
 import { type EngineProfile, PlacementPolicy, type ServiceDefinition } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
-import { passTime, readTime, readTimePerPassAtMost, writeTime } from "./engineCost.js";
+import { passTime, readTime, readTimeInPass, writeTime } from "./engineCost.js";
 import type { FailureView } from "./failureView.js";
 import type { EndpointLoad, LoadView } from "./loadView.js";
+import { chooseTeam, type TeamShare } from "./team.js";
 
 /** A read this long is spread over helpers: it would hold up an endpoint for longer than short prompts can wait. */
 const longRead: Milliseconds = 800;
-/** Endpoints that may help one read; the engines take no more. */
-const helpersAtMost = 15;
 /** Writers that short prompts are packed to on one endpoint; each further one stretches the pauses of all. */
 const writersPacked = 7;
 /** A read up to this time goes beside writers; it lengthens one pause by its own time at most. */
@@ -29,6 +28,11 @@
 const packingCost = 0.002;
 const distanceCost = 0.001;
 const queueCost = 0.02;
+/** What it costs, relative to its value, to wait at an endpoint until others have given memory back. */
+const memoryWaitCost = 0.5;
+
+/** Part of an answer's value that is lost when it is late but still comes; customers rate a late one at a quarter. */
+const lateLoss = 0.75;
 
 /** What is to be placed. */
 export interface PlacementNeed {
@@ -39,6 +43,8 @@
     targetGap: Milliseconds | undefined;
     /** Time that the caller still wants to spend on the first event; the rest of the target. */
     targetLeft: Milliseconds;
+    /** How much longer the caller waits for the first event before it gives up. */
+    patienceLeft: Milliseconds;
     /** Data centre of this entry. */
     dataCentre: string;
     /** Endpoints that broke off this request; they get it again only when there is no other. */
@@ -51,6 +57,8 @@
 export interface Placement {
     endpoint: KnownEndpoint;
     helpers: readonly KnownEndpoint[];
+    /** Memory to set aside first, where no endpoint has enough alone; else none. The first is the endpoint itself. */
+    shares: readonly TeamShare[];
     /** Predicted time of reading at each of them. */
     readTime: Milliseconds;
     /** Predicted time to the first event, or to the answer's start for plain services. */
@@ -93,7 +101,15 @@
             return requests / candidate.record.slots + this.plainCost(need, candidate);
         });
         return endpoint
-            && { endpoint, helpers: [], readTime: 0, firstEvent: 0, yields: false, whole: need.targetLatency };
+            && {
+                endpoint,
+                helpers: [],
+                shares: [],
+                readTime: 0,
+                firstEvent: 0,
+                yields: false,
+                whole: need.targetLatency,
+            };
     }
 
     private placeGeneration(
@@ -102,24 +118,62 @@
         candidates: readonly KnownEndpoint[],
     ): Placement | undefined {
         const alone = readTime(engine, need.promptTokens);
-        const idle = alone > longRead ? this.idleEndpoints(candidates) : [];
-        // Parts are kept short, but not all idle endpoints are taken: the next long prompt needs some.
-        const readers = Math.max(1, Math.min(Math.ceil(alone / longRead), idle.length, helpersAtMost + 1));
-        const part = alone / readers;
-        const endpoint = cheapest(readers > 1 ? idle : candidates, candidate => {
+        if (alone > longRead) {
+            return this.placeTeam(need, engine, candidates);
+        }
+        const endpoint = cheapest(candidates, candidate => {
             const load = this.loads.load(candidate.record.id);
-            return this.generationCost(need, engine, load, part, candidate);
+            return this.generationCost(need, engine, load, alone, candidate);
         });
         if (!endpoint) {
             return undefined;
         }
-        const helpers = idle.filter(other => other !== endpoint).slice(0, readers - 1);
         const load = this.loads.load(endpoint.record.id);
-        const firstEvent = predictFirstEvent(engine, load, part, need.answerTokens);
+        const firstEvent = predictFirstEvent(engine, load, alone, need.answerTokens);
         const writing = writeTime(engine, need.answerTokens, load.writers, load.contextTokens + need.promptTokens);
         const yields = slotWait(engine, load, need.answerTokens) > need.targetLeft;
         const behind = yields ? firstEvent + overtakenWait(engine, load, need.answerTokens) : firstEvent;
-        return { endpoint, helpers, readTime: part, firstEvent: behind, yields, whole: behind + writing };
+        const whole = behind + writing;
+        return { endpoint, helpers: [], shares: [], readTime: alone, firstEvent: behind, yields, whole };
+    }
+
+    private placeTeam(
+        need: PlacementNeed,
+        engine: EngineProfile,
+        candidates: readonly KnownEndpoint[],
+    ): Placement | undefined {
+        const value = valueOf(need.promptTokens);
+        const team = chooseTeam({
+            engine,
+            promptTokens: need.promptTokens,
+            answerTokens: need.answerTokens,
+            candidates,
+            loadOf: ({ record }) => this.loads.load(record.id),
+            lossOf: firstEvent =>
+                queueCost * value * firstEvent / need.targetLatency
+                + value * (lateLoss * lateness(firstEvent, Math.max(1, need.targetLeft))
+                        + (1 - lateLoss) * lateness(firstEvent, Math.max(1, need.patienceLeft))),
+            partLossOf: (load, part, tokens) =>
+                pauseLossOf(
+                    load,
+                    passTime(engine, load.writers, load.contextTokens)
+                        + readTimeInPass(engine, part, tokens, load.readBacklog),
+                )
+                + load.readingValue * lateLoss * Math.min(1, part / need.targetLatency),
+        });
+        if (!team) {
+            return undefined;
+        }
+        const { readers: [endpoint, ...helpers], shares, part, firstEvent } = team;
+        const { writers, contextTokens } = this.loads.load(endpoint!.record.id);
+        const writing = writeTime(
+            engine,
+            need.answerTokens,
+            writers,
+            contextTokens + (shares[0]?.tokens ?? need.promptTokens),
+        );
+        const whole = firstEvent + writing;
+        return { endpoint: endpoint!, helpers, shares, readTime: part, firstEvent, yields: false, whole };
     }
 
     /** What is lost by placing a read of `part` at a candidate. */
@@ -134,9 +188,10 @@
         const firstEvent = predictFirstEvent(engine, load, part, need.answerTokens);
         let cost = value * lateness(firstEvent, Math.max(1, need.targetLeft));
         const pause = passTime(engine, load.writers + 1, load.contextTokens + need.promptTokens)
-            + Math.min(load.readBacklog + part, readTimePerPassAtMost(engine));
-        for (const other of load.tolerances) {
-            cost += other.value * lateness(pause, other.targetGap);
+            + readTimeInPass(engine, part, need.promptTokens, load.readBacklog);
+        cost += pauseLossOf(load, pause);
+        if (load.memoryTokens + need.promptTokens + need.answerTokens > engine.memoryTokens) {
+            cost += memoryWaitCost * value;
         }
         cost += queueCost * value * firstEvent / need.targetLatency;
         cost += part <= shortRead ? packing(load) : packingCost * load.writers;
@@ -147,14 +202,16 @@
         return failureCost * this.failures.share(record.id)
             + (record.dataCentre === need.dataCentre ? 0 : distanceCost);
     }
+}
 
-    private idleEndpoints(candidates: readonly KnownEndpoint[]): KnownEndpoint[] {
-        return candidates.filter(({ record }) => {
-            const load = this.loads.load(record.id);
-            return load.readers === 0 && load.writers === 0;
-        });
+/** What is lost when those that write at an endpoint pause for so long. */
+const pauseLossOf = (load: EndpointLoad, pause: Milliseconds): number => {
+    let loss = 0;
+    for (const other of load.tolerances) {
+        loss += other.value * lateness(pause, other.targetGap);
     }
-}
+    return loss;
+};
 
 /** Short prompts join those that write already, so that other endpoints stay free for long reads. */
 const packing = (load: EndpointLoad): number =>
--- /dev/null
+++ b/src/core/placement/team.ts
@@ -0,0 +1,162 @@
+/**
+ * Endpoints that share the reading of one long prompt, and its memory where no endpoint has enough alone.
+ *
+ * Load pattern: one prompt in thirty takes an endpoint three seconds to read, one in six hundred half a minute and the
+ * memory of two or three endpoints, and in some ten seconds three times as many come. They can only be served by many
+ * endpoints at once, also where few are idle: what is lost by those that read and write there, and by short prompts that
+ * come meanwhile, is weighed against what this prompt is worth.
+ */
+import type { EngineProfile } from "../../types/routing.js";
+import type { Milliseconds } from "../../utils/clock.js";
+import type { KnownEndpoint } from "../membership/endpointDirectory.js";
+import { passTime, readTime } from "./engineCost.js";
+import type { EndpointLoad } from "./loadView.js";
+
+/** Endpoints that read one prompt: the one that gets the order, and as many helpers as engines take. */
+export const readersAtMost = 16;
+/** Shorter parts gain little for this prompt, and leave none for the next. */
+const partAtLeast: Milliseconds = 800;
+/** Memory is kept in blocks, and the last of each share is not full. */
+const blockTokens = 16;
+/** Part of an endpoint's free memory that is asked for; other entries' newest work may not be known yet. */
+const usedPart = 0.97;
+
+/** Part of the endpoints that short prompts are left when a long one is read by many at once. */
+const keptFree = 0.4;
+/** About the time for which a short answer is written; so many of them begin in it as are being written. */
+const shortAnswer: Milliseconds = 2_000;
+
+/** Memory of one member, in tokens. */
+export interface TeamShare {
+    endpoint: KnownEndpoint;
+    tokens: number;
+}
+
+/** Who reads a prompt, and who holds it. */
+export interface Team {
+    /** The first gets the order. */
+    readers: readonly KnownEndpoint[];
+    /** Memory to set aside; the first is the one that gets the order, all are readers. None where one has enough. */
+    shares: readonly TeamShare[];
+    /** Predicted time of reading at each of them. */
+    part: Milliseconds;
+    /** Predicted time to the first event. */
+    firstEvent: Milliseconds;
+}
+
+interface Member {
+    endpoint: KnownEndpoint;
+    load: EndpointLoad;
+    freeTokens: number;
+}
+
+/** What decides between teams. */
+export interface TeamNeed {
+    engine: EngineProfile;
+    promptTokens: number;
+    answerTokens: number;
+    candidates: readonly KnownEndpoint[];
+    loadOf: (endpoint: KnownEndpoint) => EndpointLoad;
+    /** What is lost when the first event comes after `firstEvent`. */
+    lossOf: (firstEvent: Milliseconds) => number;
+    /** What is lost at an endpoint with this load by reading a part of so much time and tokens there. */
+    partLossOf: (load: EndpointLoad, part: Milliseconds, tokens: number) => number;
+}
+
+/** The team that loses least; undefined when no team has the memory. */
+export const chooseTeam = (need: TeamNeed): Team | undefined => {
+    const members = rankedMembers(need, partAtLeast);
+    const tokens = need.promptTokens + need.answerTokens;
+    const alone = readTime(need.engine, need.promptTokens);
+    const overMemory = tokens > need.engine.memoryTokens;
+    let best: Team | undefined;
+    let bestLoss = Infinity;
+    const readersUseful = Math.min(members.length, readersAtMost, Math.ceil(alone / partAtLeast));
+    for (let count = 1; count <= readersUseful; count++) {
+        const readers = members.slice(0, count);
+        const shares = overMemory ? sharesOf(readers, tokens) : [];
+        if (!shares) {
+            continue;
+        }
+        const part = alone / count;
+        const firstEvent = firstEventOf(need, readers, part);
+        let loss = need.lossOf(firstEvent);
+        loss += occupancyLoss(members, count, part);
+        for (const { load } of readers) {
+            loss += need.partLossOf(load, part, need.promptTokens / count);
+        }
+        if (loss < bestLoss) {
+            bestLoss = loss;
+            best = { readers: readers.map(({ endpoint }) => endpoint), shares, part, firstEvent };
+        }
+    }
+    return best;
+};
+
+/**
+ * What is lost by short prompts that come while `count` more endpoints read for `part`. They go where nobody reads; with
+ * too few such endpoints left, they wait for the end of the part and are late.
+ */
+const occupancyLoss = (members: readonly Member[], count: number, part: Milliseconds): number => {
+    let reading = count;
+    let written = 0;
+    for (const [index, { load }] of members.entries()) {
+        reading += index >= count && load.readers > 0 ? 1 : 0;
+        for (const { value } of load.tolerances) {
+            written += value;
+        }
+    }
+    const free = 1 - reading / members.length;
+    const shortage = Math.max(0, keptFree - free) / keptFree;
+    return written * part / shortAnswer * shortage;
+};
+
+/** Idle endpoints first, then those whose writers and readers lose least. */
+const rankedMembers = (need: TeamNeed, part: Milliseconds): Member[] => {
+    const { engine, promptTokens, candidates, loadOf, partLossOf } = need;
+    return candidates
+        .map(endpoint => {
+            const load = loadOf(endpoint);
+            const freeTokens = Math.floor(Math.max(0, engine.memoryTokens - load.memoryTokens) * usedPart);
+            const rank = partLossOf(load, part, promptTokens * part / readTime(engine, promptTokens))
+                + load.readBacklog / 1_000;
+            return { member: { endpoint, load, freeTokens }, rank };
+        })
+        .filter(({ member }) => member.load.requests < engine.slots)
+        .sort((left, right) => left.rank - right.rank || right.member.freeTokens - left.member.freeTokens)
+        .map(({ member }) => member);
+};
+
+/** Memory in as few members as hold it, the first one included; undefined when all together don't. */
+const sharesOf = (members: readonly Member[], tokens: number): TeamShare[] | undefined => {
+    const [first, ...others] = members;
+    const roomy = others.sort((left, right) => right.freeTokens - left.freeTokens);
+    const shares: TeamShare[] = [];
+    let left = tokens;
+    for (const { endpoint, freeTokens } of [first!, ...roomy]) {
+        const room = freeTokens - blockTokens;
+        if (room > 0) {
+            const held = Math.min(left, room);
+            shares.push({ endpoint, tokens: held + blockTokens });
+            left -= held;
+        }
+        else if (shares.length === 0) {
+            return undefined;
+        }
+        if (left <= 0) {
+            return shares;
+        }
+    }
+    return undefined;
+};
+
+/** The slowest member decides: its backlog, its part, and the pass that it is in. */
+const firstEventOf = ({ engine }: TeamNeed, readers: readonly Member[], part: Milliseconds): Milliseconds => {
+    let latest = 0;
+    for (const { load } of readers) {
+        const running = load.writers > 0 ? passTime(engine, load.writers, load.contextTokens) : 0;
+        latest = Math.max(latest, running + load.readBacklog + part);
+    }
+    const { load } = readers[0]!;
+    return latest + passTime(engine, load.writers + 1, load.contextTokens);
+};
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -39,6 +39,13 @@
     body: Buffer;
 }
 
+/** An endpoint that reads a part of a prompt for another one. */
+export interface Helper {
+    address: string;
+    /** Memory set aside there for the prompt; the endpoint that gets the order may name its own, and then goes first. */
+    reservation: string | undefined;
+}
+
 /** One request as it goes to one endpoint. */
 export interface EndpointOrder {
     request: ForwardedRequest;
@@ -51,8 +58,8 @@
     priority: number;
     /** The caller has the stream up to this event. */
     resumeAfter: string | undefined;
-    /** Addresses of endpoints that read parts of the prompt. */
-    helpers: readonly string[];
+    /** Endpoints that read parts of the prompt. */
+    helpers: readonly Helper[];
     /** Whether the answer is a series of events. */
     streaming: boolean;
     /** Whether a connection that was used before will do. */
--- a/src/utils/httpClient.ts
+++ b/src/utils/httpClient.ts
@@ -15,6 +15,8 @@
     signal?: AbortSignal;
     /** A connection of its own: a failure to connect then proves that nothing was written. */
     freshConnection?: boolean;
+    /** Keeps the connections; one for all where it is left out. */
+    agent?: http.Agent;
 }
 
 /** The head of an answer, with its body still to be read. */
@@ -44,7 +46,7 @@
             method: request.method,
             path: request.path,
             headers: requestHeaders(request),
-            agent: request.freshConnection ? new http.Agent({ keepAlive: false }) : sharedAgent,
+            agent: request.freshConnection ? new http.Agent({ keepAlive: false }) : request.agent ?? sharedAgent,
             signal: request.signal,
         });
         outgoing.on("socket", socket => {
