Entries learn stored objects from one another; few watch the store; placements in one short datagram

Change: StateFollower with a mirror of each kind. Six entries watch a kind, by rendezvous; watches are longer the more entries there are; a change is told by datagram, and who lacks it asks an entry that has it over JSON-RPC, also when the store refuses it or a watch is deaf. What a placement's parts share is told once. Endpoints that refuse memory are passed over in the next try. Ruled out: that the digests met because of slow processors (same without charge).

--- a/__tests__/forwarding/peers.test.ts
+++ b/__tests__/forwarding/peers.test.ts
@@ -1,5 +1,6 @@
 /** What entries tell one another, over real datagrams. */
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { Refusal } from "../../platform/standins/storeServer.js";
 import { call, generation, Site, until } from "./support/site.js";
 
 let site: Site;
@@ -53,3 +54,30 @@
     await until(() => site.store.model.get("entries", "entry-2") === undefined);
     expect(first.entry.ready).toBe(true);
 });
+
+test("entry that the store turns away learns from others", async () => {
+    // The store turns one entry away and serves the others. A key is taken away, a route moves, a replica leaves and a data
+    // centre goes out meanwhile. Callers of that entry would go on being served by what holds no more.
+    const served = await site.start("entry-1");
+    const { entry, door } = await site.start("entry-2");
+    await until(() => knows("entry-1", "entry-2") && knows("entry-2", "entry-1"));
+    door.refusal = Refusal.Busy;
+    site.configure(2);
+    site.record("m-1", { state: "draining" });
+    site.record("m-2", { zone: "south-a" });
+    site.store.model.put("evacuations", "south-a", {});
+    await until(() => served.entry.configuration.version === 2);
+    await until(() => entry.configuration.version === 2);
+    const usable = () => entry.directory.usable("models").map(({ record }) => record.id);
+    await until(() => !usable().includes("m-1") && !usable().includes("m-2"));
+});
+
+test("entry that starts while the store turns it away", async () => {
+    // A replaced entry would stay without configuration, and refuse everything, although its neighbours know all of it.
+    await site.start("entry-1");
+    const first = await site.start("entry-2");
+    await until(() => knows("entry-1", "entry-2"));
+    await first.entry.close();
+    const again = await site.start("entry-2", false, { refusal: Refusal.Silent, peers: first.peers });
+    await until(() => again.entry.ready);
+});
--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -72,6 +72,7 @@
             dataCentre: "a",
             broken: new Set(),
             refused: new Set(),
+            lacking: new Set(),
             ...changes,
         };
     }
--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -4,7 +4,7 @@
 import { platformWire } from "../../../platform/forwardingWire.js";
 import { ReplicaOrders } from "../../../platform/replicaOrders.js";
 import { ReplicaServer } from "../../../platform/standins/replicaServer.js";
-import { type StoreDoor, StoreServer } from "../../../platform/standins/storeServer.js";
+import { Refusal, type StoreDoor, StoreServer } from "../../../platform/standins/storeServer.js";
 import { StoreClient } from "../../../platform/storeClient.js";
 import type { ForwardingSettings } from "../../../src/adapters/forwarding/entrySettings.js";
 import { ForwardingEntry } from "../../../src/adapters/forwarding/forwardingEntry.js";
@@ -100,6 +100,15 @@
     door: StoreDoor;
     callers: string;
     readiness: string;
+    peers: string;
+}
+
+/** How an entry starts, beyond the usual. */
+export interface StartOptions {
+    /** How the store turns it away from the start. */
+    refusal?: Refusal;
+    /** Where it takes the other entries' messages. */
+    peers?: string;
 }
 
 /** The whole site. */
@@ -149,11 +158,17 @@
     }
 
     /** Starts an entry; waits until it is ready unless `wait` is false. */
-    async start(id: string, wait = true): Promise<SiteEntry> {
+    async start(id: string, wait = true, options: StartOptions = {}): Promise<SiteEntry> {
         const door = await this.store.door();
+        door.refusal = options.refusal ?? Refusal.None;
         const settings: ForwardingSettings = {
             instance: { id, dataCentre: "north-a" },
-            listen: { callers: "127.0.0.1:0", readiness: "127.0.0.1:0", peers: "127.0.0.1:0", metrics: "127.0.0.1:0" },
+            listen: {
+                callers: "127.0.0.1:0",
+                readiness: "127.0.0.1:0",
+                peers: options.peers ?? "127.0.0.1:0",
+                metrics: "127.0.0.1:0",
+            },
             store: { address: door.address },
             repeats: { share: 0.2, windowSeconds: 10, extra: 100 },
             cold: { factor: 1.5, extra: 5 },
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -2,16 +2,18 @@
 import { ColdBudget } from "../../core/budgets/coldBudget.js";
 import { RepeatBudget } from "../../core/budgets/repeatBudget.js";
 import { ActiveConfiguration } from "../../core/configuration/activeConfiguration.js";
-import { followState, type StateSink } from "../../core/configuration/followState.js";
+import { StateFollower, type StateSink } from "../../core/configuration/stateFollower.js";
+import type { StateNews } from "../../core/configuration/stateMirror.js";
 import { Forwarder } from "../../core/forwarding/forwarder.js";
 import { EndpointDirectory } from "../../core/membership/endpointDirectory.js";
 import { Peers } from "../../core/membership/peers.js";
+import { PeerState } from "../../core/membership/peerState.js";
 import { FailureView } from "../../core/placement/failureView.js";
 import { type EndpointLoad, LoadView } from "../../core/placement/loadView.js";
 import { Placer } from "../../core/placement/placer.js";
 import { SharedLoads } from "../../core/placement/sharedLoads.js";
 import type { MemoryPort } from "../../ports/memoryPort.js";
-import type { PeerIdentity } from "../../ports/peerNewsPort.js";
+import type { KnownRevisions, PeerIdentity } from "../../ports/peerNewsPort.js";
 import { StateKind, type StatePort } from "../../ports/statePort.js";
 import type { RoutingConfiguration } from "../../types/routing.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
@@ -23,6 +25,7 @@
 import { EndpointClient } from "./endpointClient.js";
 import type { ForwardingSettings } from "./entrySettings.js";
 import { PeerSocket } from "./peerSocket.js";
+import { PeerStateClient, servePeerState } from "./peerStateServer.js";
 import { serveReadiness } from "./readinessPort.js";
 import type { ForwardingWire } from "./wireNames.js";
 
@@ -34,8 +37,12 @@
 /** Kept back from the grace for cutting what is left and ending the process. */
 const stopMargin: Milliseconds = 600;
 const stopLook: Milliseconds = 50;
-/** How often the store's list of entries is read, for entries that lost sight of one another. */
+/**
+ * How often the store's list of entries is read, for entries that lost sight of one another: the least, and for each
+ * entry, so that all together read it no more often the more they are.
+ */
 const meetInterval: Milliseconds = 10_000;
+const meetIntervalPerEntry: Milliseconds = 2_000;
 const meetRetry: Milliseconds = 1_000;
 /** Entries that budgets are divided by at the least, for an entry that hears nobody: the largest site of today. */
 const entriesAtLeast = 9;
@@ -52,6 +59,9 @@
     log: (part: string) => PartLog;
 }
 
+type FollowedKind = Exclude<StateKind, StateKind.Entries>;
+type Followers = { readonly [Kind in FollowedKind]: StateFollower<Kind>; };
+
 /** A running entry. */
 export class ForwardingEntry {
     readonly configuration = new ActiveConfiguration();
@@ -65,6 +75,9 @@
     private readonly log: PartLog;
     private readonly ending = new AbortController();
     private readiness: Listener | undefined;
+    /** Answers other entries' questions. */
+    private questions: Listener | undefined;
+    private readonly followers: Followers;
     /** When a planned stop cuts what is left. */
     private endsAt: Milliseconds | undefined;
 
@@ -72,6 +85,7 @@
         const { clock, random, wire, log } = parts;
         this.log = log("entry");
         const { instance, listen } = settings;
+        const { id, dataCentre } = instance;
         this.self = { id: instance.id, address: listen.peers, incarnation: randomIdentifier(random) };
         this.directory = new EndpointDirectory(clock, log("directory"));
         const failures = new FailureView(clock);
@@ -110,8 +124,19 @@
             loads: this.loads,
             tellsLoads: settings.placement.shared,
             self: this.self,
+            dataCentre,
+            known: () => this.knownRevisions(),
             inProgress: () => this.forwarder.inProgress,
         });
+        const asking = new PeerStateClient(clock, log("peers"));
+        const peerState = new PeerState(this.peers, asking, { id, dataCentre }, random);
+        const follow = { store: parts.store, peers: peerState, clock, random, log: log("store") };
+        const { Configuration, Endpoints, DataCentresOut } = StateKind;
+        this.followers = {
+            [Configuration]: new StateFollower(follow, Configuration, this.configurationSink()),
+            [Endpoints]: new StateFollower(follow, Endpoints, this.directory),
+            [DataCentresOut]: new StateFollower(follow, DataCentresOut, this.directory.out),
+        };
         this.callers = new CallerPort({
             wire,
             clock,
@@ -134,18 +159,19 @@
     }
 
     /** Starts listening and following the store; resolves with the real addresses. */
-    async start(): Promise<{ callers: string; readiness: string; }> {
+    async start(): Promise<{ callers: string; readiness: string; peers: string; }> {
         const { listen, instance } = this.settings;
         this.readiness = await serveReadiness(listen.readiness, () => this.ready);
         this.self.address = await this.peerSocket.listen(listen.peers);
+        this.questions = await servePeerState(this.self.address, this.stateLookup, this.parts.log("peers"));
         this.run("the heartbeat", this.peers.sayAlive(this.ending.signal));
         this.run("the list of entries", this.meetPeers());
-        this.follow(StateKind.Configuration, this.configurationSink());
-        this.follow(StateKind.Endpoints, this.directory);
-        this.follow(StateKind.DataCentresOut, this.directory.out);
+        for (const follower of Object.values(this.followers)) {
+            this.run("following the store", follower.run(this.ending.signal));
+        }
         const callers = await this.callers.listen(listen.callers);
         this.log.info("The entry has started.", { instance: instance.id, callers });
-        return { callers, readiness: this.readiness.address };
+        return { callers, readiness: this.readiness.address, peers: this.self.address };
     }
 
     /** Takes changed settings. Addresses that it listens on stay until the next start. */
@@ -189,13 +215,18 @@
         }
         this.ending.abort();
         this.peerSocket.close();
-        await Promise.all([this.callers.close(), this.readiness?.close()]);
+        await Promise.all([this.callers.close(), this.readiness?.close(), this.questions?.close()]);
     }
 
-    private follow<Kind extends StateKind>(kind: Kind, sink: Parameters<typeof followState<Kind>>[2]): void {
-        const { store, clock, random, log } = this.parts;
-        const following = followState({ store, clock, random, log: log("store") }, kind, sink, this.ending.signal);
-        this.run(`following ${kind}`, following);
+    private readonly stateLookup = (kind: StateKind, revision: number): StateNews<unknown> | undefined =>
+        kind === StateKind.Entries ? undefined : this.followers[kind].mirror.since(revision);
+
+    private knownRevisions(): KnownRevisions {
+        const known: KnownRevisions = {};
+        for (const [kind, { mirror }] of Object.entries(this.followers)) {
+            known[kind as StateKind] = mirror.lastChange;
+        }
+        return known;
     }
 
     private run(task: string, work: Promise<void>): void {
@@ -219,7 +250,7 @@
                 }
                 const { items } = await store.list(StateKind.Entries, signal);
                 this.peers.listed(items.flatMap(({ name, value }) => value ? [{ id: name, ...value }] : []));
-                pause = meetInterval;
+                pause = Math.max(meetInterval, this.peers.living * meetIntervalPerEntry);
             }
             catch (error) {
                 this.log.warn("The list of entries can't be had.", { error: describeError(error) });
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -4,6 +4,7 @@
 import { z } from "zod";
 import { WorkPart } from "../../core/placement/loadView.js";
 import type { PeerMessage, PeerNewsPort } from "../../ports/peerNewsPort.js";
+import { StateKind } from "../../ports/statePort.js";
 import { splitAddress } from "../../utils/address.js";
 import { describeError } from "../../utils/errors.js";
 import type { PartLog } from "../../utils/log.js";
@@ -14,23 +15,24 @@
 
 const work = z.object({
     id: z.string(),
-    endpoint: z.string(),
-    contextTokens: z.number(),
     readTime: z.number(),
     targetGap: z.number().optional(),
     value: z.number(),
     yielding: z.boolean(),
-    part: z.enum(WorkPart),
     endsIn: z.number(),
 });
 
+const part = z.tuple([z.string(), z.enum(WorkPart), z.number()]);
+const known = z.partialRecord(z.enum(StateKind), z.number());
+
 const message = z.object({
     from: z.object({ id: z.string(), address: z.string(), incarnation: z.string() }),
     news: z.array(z.discriminatedUnion("type", [
-        z.object({ type: z.literal("Placed"), works: z.array(work) }),
+        z.object({ type: z.literal("Placed"), work, parts: z.array(part) }),
         z.object({ type: z.literal("Writing"), endpoint: z.string(), id: z.string() }),
         z.object({ type: z.literal("Ended"), endpoints: z.array(z.string()), id: z.string() }),
-        z.object({ type: z.literal("Alive"), inProgress: z.array(z.string()) }),
+        z.object({ type: z.literal("Alive"), inProgress: z.array(z.string()), dataCentre: z.string(), known }),
+        z.object({ type: z.literal("Changed"), known }),
         z.object({ type: z.literal("Stopping") }),
     ])),
 });
--- /dev/null
+++ b/src/adapters/forwarding/peerStateServer.ts
@@ -0,0 +1,84 @@
+/** Questions between entries for stored objects, as JSON-RPC 2.0 over HTTP. */
+import { JSONRPCClient, type JSONRPCRequest, type JSONRPCResponse, JSONRPCServer } from "json-rpc-2.0";
+import { z } from "zod";
+import type { StateNews } from "../../core/configuration/stateMirror.js";
+import type { PeerStatePort } from "../../ports/peerStatePort.js";
+import { StateKind, type StateValues } from "../../ports/statePort.js";
+import { within } from "../../utils/bounds.js";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
+import { describeError } from "../../utils/errors.js";
+import { exchangeJson, readBody } from "../../utils/httpClient.js";
+import { listen, type Listener, sendJson } from "../../utils/httpServer.js";
+import type { PartLog } from "../../utils/log.js";
+
+const stateMethod = "stateSince";
+/** Changes with each incompatible change of what is exchanged; entries of another version are not understood. */
+const formatVersion = 1;
+const questionBytesAtMost = 4_096;
+
+const questionSchema = z.object({ format: z.literal(formatVersion), kind: z.enum(StateKind), revision: z.number() });
+const item = z.object({ name: z.string(), revision: z.number(), value: z.unknown() });
+const answerSchema = z.discriminatedUnion("type", [
+    z.object({
+        type: z.literal("Changes"),
+        revision: z.number(),
+        wasAway: z.boolean(),
+        changes: z.array(item.extend({ removed: z.boolean() })),
+    }),
+    z.object({ type: z.literal("Snapshot"), revision: z.number(), wasAway: z.boolean(), items: z.array(item) }),
+]);
+
+/** Looks up what this entry knows of a kind after a revision. */
+export type StateLookup = (kind: StateKind, revision: number) => StateNews<unknown> | undefined;
+
+/** Answers other entries' questions at `address`. */
+export const servePeerState = (address: string, lookup: StateLookup, log: PartLog): Promise<Listener> => {
+    const server = new JSONRPCServer();
+    server.addMethod(stateMethod, parameters => {
+        const { kind, revision } = questionSchema.parse(parameters);
+        return lookup(kind, revision) ?? {};
+    });
+    return listen(address, async (request, response) => {
+        try {
+            const text = (await readBody(request, questionBytesAtMost)).toString("utf8");
+            sendJson(response, 200, await server.receive(JSON.parse(text) as JSONRPCRequest));
+        }
+        catch (error) {
+            log.warn("An entry's question can't be read.", { reason: describeError(error) });
+            sendJson(response, 400, {});
+        }
+    });
+};
+
+/** Asks other entries. */
+export class PeerStateClient implements PeerStatePort {
+    constructor(private readonly clock: Clock, private readonly log: PartLog) {}
+
+    async ask<Kind extends StateKind>(
+        address: string,
+        kind: Kind,
+        revision: number,
+        limit: Milliseconds,
+    ): Promise<StateNews<StateValues[Kind]> | undefined> {
+        try {
+            const answer = answerSchema.safeParse(
+                await this.call(address, { format: formatVersion, kind, revision }, limit),
+            );
+            // The values were decoded by an entry of the same format.
+            return answer.success ? answer.data as StateNews<StateValues[Kind]> : undefined;
+        }
+        catch (error) {
+            this.log.info("An entry doesn't answer.", { address, kind, error: describeError(error) });
+            return undefined;
+        }
+    }
+
+    private async call(address: string, question: object, limit: Milliseconds): Promise<unknown> {
+        const client = new JSONRPCClient(async (request: JSONRPCRequest) => {
+            const send = (signal: AbortSignal) => exchangeJson({ address, method: "POST", path: "/", signal }, request);
+            const { value } = await within(this.clock, limit, "another entry's answer", send);
+            client.receive(value as JSONRPCResponse);
+        });
+        return await client.request(stateMethod, question);
+    }
+}
--- a/src/core/forwarding/memoryHold.ts
+++ b/src/core/forwarding/memoryHold.ts
@@ -39,17 +39,17 @@
         private readonly requestId: string,
     ) {}
 
-    /** Sets all of `shares` aside; undefined when any of them can't be had, and then nothing is held. */
+    /** Sets all of `shares` aside. When any of them can't be had, nothing is held, and the endpoints at fault are told. */
     static async gather(
         parts: MemoryHoldParts,
         shares: readonly MemoryShare[],
         requestId: string,
-    ): Promise<MemoryHold | undefined> {
+    ): Promise<{ hold: MemoryHold; } | { lacking: string[]; }> {
         const hold = new MemoryHold(parts, shares, requestId);
         const answers = await Promise.all(shares.map(share => hold.reserve(share)));
         if (answers.every(answer => answer === ReservationAnswer.Held)) {
             void hold.renew();
-            return hold;
+            return { hold };
         }
         parts.log.info("Memory can't be set aside.", {
             requestId,
@@ -61,7 +61,8 @@
         });
         // An order without an answer may have been carried out.
         hold.release(share => answers[shares.indexOf(share)] !== ReservationAnswer.Refused);
-        return undefined;
+        const held = (index: number) => answers[index] === ReservationAnswer.Held;
+        return { lacking: shares.flatMap(({ endpoint }, index) => held(index) ? [] : [endpoint.id]) };
     }
 
     /** Gives the memory back. */
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -63,6 +63,8 @@
     private longestPause: Milliseconds = 0;
     /** An endpoint's own failure, to be passed on when no other send does better. */
     private kept: KeptAnswer | undefined;
+    /** Endpoints that had less memory than was believed. */
+    private lacking: ReadonlySet<string> = new Set();
 
     constructor(
         private readonly parts: ForwardingParts,
@@ -113,6 +115,7 @@
         switch (outcome.type) {
             case "NoMemory":
                 this.sends--;
+                this.lacking = new Set([...this.lacking, ...outcome.lacking]);
                 await this.pauseForMemory();
                 return false;
             case "Unreached":
@@ -284,9 +287,15 @@
                 dataCentre,
                 broken: this.broken,
                 refused: this.refused,
+                lacking: this.lacking,
             },
             this.candidates(),
         );
+        if (!placement && this.lacking.size > 0 && !this.ending.signal.aborted) {
+            // All that have memory were asked; by now some of it may be free again.
+            this.lacking = new Set();
+            return this.choose();
+        }
         if (!placement) {
             const detail = `no endpoint of ${service.name} may get work`;
             throw this.failure(FailureKind.NoEndpoint, detail, noEndpointRetrySeconds);
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -39,7 +39,10 @@
 }
 
 /** What became of a try to send. */
-export type DispatchOutcome = EndpointOutcome | { type: "NoMemory"; };
+export type DispatchOutcome =
+    | EndpointOutcome
+    /** These endpoints hadn't the memory that was to be set aside; nothing was sent. */
+    | { type: "NoMemory"; lacking: string[]; };
 
 /** One try to send. */
 export class Sender {
@@ -58,9 +61,10 @@
         const { placement, signal } = this.dispatch;
         loads.place(this.works());
         cold.note(placement.endpoint.record.id);
-        if (!await this.setMemoryAside()) {
+        const lacking = await this.setMemoryAside();
+        if (lacking.length > 0) {
             this.end();
-            return { type: "NoMemory" };
+            return { type: "NoMemory", lacking };
         }
         const cancel = () => this.ending.abort();
         signal.addEventListener("abort", cancel, { once: true });
@@ -79,18 +83,23 @@
         return outcome;
     }
 
-    private async setMemoryAside(): Promise<boolean> {
+    /** Endpoints that lack the memory; none when all of it is set aside. */
+    private async setMemoryAside(): Promise<string[]> {
         const { placement, request, number } = this.dispatch;
         if (placement.shares.length === 0) {
-            return true;
+            return [];
         }
         const shares = placement.shares.map(({ endpoint, tokens }, index) => ({
             reservation: reservationName(request.id, number, index),
             endpoint: endpoint.record,
             tokens,
         }));
-        this.hold = await MemoryHold.gather(this.parts, shares, request.id);
-        return this.hold !== undefined;
+        const gathered = await MemoryHold.gather(this.parts, shares, request.id);
+        if ("lacking" in gathered) {
+            return gathered.lacking;
+        }
+        this.hold = gathered.hold;
+        return [];
     }
 
     private order(): Promise<EndpointOutcome> {
--- a/src/core/membership/endpointDirectory.ts
+++ b/src/core/membership/endpointDirectory.ts
@@ -3,7 +3,7 @@
 import { EndpointRecord, EndpointState } from "../../types/routing.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
-import type { StateSink } from "../configuration/followState.js";
+import type { StateSink } from "../configuration/stateFollower.js";
 
 /**
  * How long an endpoint without a record is still used after the store was away. Records lapse while endpoints can't
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -1,5 +1,5 @@
 /** The other entries, as far as this one hears of them, and what it tells them. */
-import type { PeerIdentity, PeerMessage, PeerNews, PeerNewsPort, TravellingWork } from "../../ports/peerNewsPort.js";
+import type { KnownRevisions, PeerIdentity, PeerMessage, PeerNews, PeerNewsPort } from "../../ports/peerNewsPort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
 import type { PlacedWork } from "../placement/loadView.js";
@@ -16,8 +16,15 @@
 /** Work placed this shortly before may be missing in what its entry says is in progress. */
 const aliveSlack: Milliseconds = 300;
 
-interface Peer {
+/** An entry that was heard of late. */
+export interface LivingPeer {
     identity: PeerIdentity;
+    dataCentre: string;
+    /** What it last said that it knows. */
+    known: KnownRevisions;
+}
+
+interface Peer extends LivingPeer {
     heardAt: Milliseconds;
     /** When it was listed or heard last. */
     knownAt: Milliseconds;
@@ -32,6 +39,9 @@
     /** Whether the others hear what this entry places. */
     tellsLoads: boolean;
     self: PeerIdentity;
+    dataCentre: string;
+    /** What this entry knows of stored objects. */
+    known: () => KnownRevisions;
     /** Identifiers of this entry's requests in progress. */
     inProgress: () => string[];
 }
@@ -39,6 +49,8 @@
 /** The other entries. */
 export class Peers {
     private readonly peers = new Map<string, Peer>();
+    /** Called when an entry says what it knows of stored objects, and on a timer. */
+    onState: () => void = () => {};
     private gathered: PeerNews[] = [];
     private gathering = false;
 
@@ -58,6 +70,22 @@
         return count;
     }
 
+    /** The other entries that were heard of late. */
+    others(): LivingPeer[] {
+        const now = this.parts.clock.now();
+        return [...this.peers.values()].filter(({ heardAt }) => now - heardAt < silentAfter);
+    }
+
+    /** Entries that are known, heard of late or not, this one included. */
+    get listedCount(): number {
+        return this.peers.size + 1;
+    }
+
+    /** Tells the others that the store told of a change. */
+    sayChanged(): void {
+        this.flush({ type: "Changed", known: this.parts.known() });
+    }
+
     /** Takes the addresses of entries that the store lists. */
     listed(identities: readonly Pick<PeerIdentity, "id" | "address">[]): void {
         const now = this.parts.clock.now();
@@ -70,7 +98,8 @@
                 known.knownAt = now;
                 continue;
             }
-            this.peers.set(id, { identity: { id, address, incarnation: "" }, heardAt: -Infinity, knownAt: now });
+            const identity = { id, address, incarnation: "" };
+            this.peers.set(id, { identity, dataCentre: "", known: {}, heardAt: -Infinity, knownAt: now });
         }
     }
 
@@ -88,8 +117,10 @@
     /** Says that this entry lives until `signal` aborts. */
     async sayAlive(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            this.flush({ type: "Alive", inProgress: this.parts.inProgress() });
+            const { inProgress, known, dataCentre } = this.parts;
+            this.flush({ type: "Alive", inProgress: inProgress(), dataCentre, known: known() });
             this.forget();
+            this.onState();
             await this.parts.clock.sleep(aliveInterval, signal);
         }
     }
@@ -109,7 +140,7 @@
         }
         // What an earlier life of the process had in progress has ended with it.
         this.parts.loads.keepOnly(from.id, new Set(), now);
-        this.peers.set(from.id, { identity: from, heardAt: now, knownAt: now });
+        this.peers.set(from.id, { identity: from, dataCentre: "", known: {}, heardAt: now, knownAt: now });
         this.parts.log.info("An entry is there.", { entry: from.id, incarnation: from.incarnation });
     }
 
@@ -117,14 +148,7 @@
         const { clock, loads } = this.parts;
         switch (news.type) {
             case "Placed":
-                loads.hear({
-                    type: "Placed",
-                    works: news.works.map(({ endsIn, ...work }): PlacedWork => ({
-                        ...work,
-                        owner: from.id,
-                        endsBy: clock.now() + endsIn,
-                    })),
-                });
+                loads.hear({ type: "Placed", works: placedWorks(from.id, news, clock.now()) });
                 return;
             case "Writing":
             case "Ended":
@@ -132,6 +156,10 @@
                 return;
             case "Alive":
                 loads.keepOnly(from.id, new Set(news.inProgress), clock.now() - aliveSlack);
+                this.noteKnown(from.id, news.known, news.dataCentre);
+                return;
+            case "Changed":
+                this.noteKnown(from.id, news.known);
                 return;
             case "Stopping":
                 this.peers.delete(from.id);
@@ -140,13 +168,21 @@
         }
     }
 
+    private noteKnown(id: string, known: KnownRevisions, dataCentre?: string): void {
+        const peer = this.peers.get(id);
+        if (peer) {
+            peer.known = known;
+            peer.dataCentre = dataCentre ?? peer.dataCentre;
+            this.onState();
+        }
+    }
+
     private tell(news: LoadNews): void {
         switch (news.type) {
             case "Placed": {
                 // Told at once: another entry may be choosing an endpoint in the same millisecond.
                 const now = this.parts.clock.now();
-                const works = news.works.map(work => travelling(work, now));
-                this.flush({ type: "Placed", works });
+                this.flush(travelling(news.works, now));
                 return;
             }
             case "Writing":
@@ -185,14 +221,25 @@
     }
 }
 
-const travelling = (work: PlacedWork, now: Milliseconds): TravellingWork => ({
-    id: work.id,
-    endpoint: work.endpoint,
-    contextTokens: work.contextTokens,
-    readTime: work.readTime,
-    targetGap: work.targetGap,
-    value: work.value,
-    yielding: work.yielding,
-    part: work.part,
-    endsIn: work.endsBy - now,
-});
+const travelling = (works: readonly PlacedWork[], now: Milliseconds): PeerNews => {
+    const { id, readTime, targetGap, value, yielding, endsBy } = works[0]!;
+    return {
+        type: "Placed",
+        work: { id, readTime: Math.round(readTime), targetGap, value, yielding, endsIn: Math.round(endsBy - now) },
+        parts: works.map(work => [work.endpoint, work.part, work.contextTokens]),
+    };
+};
+
+const placedWorks = (
+    owner: string,
+    { work: { endsIn, ...work }, parts }: Extract<PeerNews, { type: "Placed"; }>,
+    now: Milliseconds,
+): PlacedWork[] =>
+    parts.map(([endpoint, part, contextTokens]) => ({
+        ...work,
+        endpoint,
+        part,
+        contextTokens,
+        owner,
+        endsBy: now + endsIn,
+    }));
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -51,6 +51,8 @@
     broken: ReadonlySet<string>;
     /** Endpoints that refused this request or can't be reached. */
     refused: ReadonlySet<string>;
+    /** Endpoints that refused to set memory aside for it: their work is not all known here. */
+    lacking: ReadonlySet<string>;
 }
 
 /** Where a request goes. */
@@ -118,7 +120,7 @@
         candidates: readonly KnownEndpoint[],
     ): Placement | undefined {
         const alone = readTime(engine, need.promptTokens);
-        if (alone > longRead) {
+        if (alone > longRead || need.promptTokens + need.answerTokens > engine.memoryTokens) {
             return this.placeTeam(need, engine, candidates);
         }
         const endpoint = cheapest(candidates, candidate => {
@@ -147,7 +149,7 @@
             engine,
             promptTokens: need.promptTokens,
             answerTokens: need.answerTokens,
-            candidates,
+            candidates: candidates.filter(({ record }) => !need.lacking.has(record.id)),
             loadOf: ({ record }) => this.loads.load(record.id),
             lossOf: firstEvent =>
                 queueCost * value * firstEvent / need.targetLatency
--- a/src/core/placement/team.ts
+++ b/src/core/placement/team.ts
@@ -71,7 +71,12 @@
     const overMemory = tokens > need.engine.memoryTokens;
     let best: Team | undefined;
     let bestLoss = Infinity;
-    const readersUseful = Math.min(members.length, readersAtMost, Math.ceil(alone / partAtLeast));
+    const readersForMemory = overMemory ? members.length : 1;
+    const readersUseful = Math.min(
+        members.length,
+        readersAtMost,
+        Math.max(Math.ceil(alone / partAtLeast), readersForMemory),
+    );
     for (let count = 1; count <= readersUseful; count++) {
         const readers = members.slice(0, count);
         const shares = overMemory ? sharesOf(readers, tokens) : [];
--- a/src/ports/peerNewsPort.ts
+++ b/src/ports/peerNewsPort.ts
@@ -1,9 +1,18 @@
 /** What the core needs of the channel between entries: datagrams that may be lost, doubled, late or out of order. */
-import type { PlacedWork } from "../core/placement/loadView.js";
+import type { PlacedWork, WorkPart } from "../core/placement/loadView.js";
 import type { Milliseconds } from "../utils/clock.js";
+import type { StateKind } from "./statePort.js";
 
-/** Placed work as it travels: its end as time left, as clocks of entries differ. */
-export type TravellingWork = Omit<PlacedWork, "endsBy" | "owner"> & { endsIn: Milliseconds; };
+/** What the work of one send has in common wherever a part of it is placed; its end as time left, as clocks differ. */
+export type TravellingWork = Omit<PlacedWork, "endsBy" | "owner" | "endpoint" | "part" | "contextTokens"> & {
+    endsIn: Milliseconds;
+};
+
+/**
+ * Where a part of it is placed: endpoint, part, tokens of context. Short, since it goes to all entries: a dozen parts
+ * spelled out fill a thin link for a tenth of a second, and messages behind them are lost.
+ */
+export type TravellingPart = [endpoint: string, part: WorkPart, contextTokens: number];
 
 /** Who sends, and which life of its process. */
 export interface PeerIdentity {
@@ -14,13 +23,18 @@
     incarnation: string;
 }
 
+/** The last change that an entry knows of each kind of stored objects, as revisions of the store. */
+export type KnownRevisions = Partial<Record<StateKind, number>>;
+
 /** One piece of news. */
 export type PeerNews =
-    | { type: "Placed"; works: TravellingWork[]; }
+    | { type: "Placed"; work: TravellingWork; parts: TravellingPart[]; }
     | { type: "Writing"; endpoint: string; id: string; }
     | { type: "Ended"; endpoints: string[]; id: string; }
     /** Sent on a timer: the sender lives, and these requests are all that it has in progress. */
-    | { type: "Alive"; inProgress: string[]; }
+    | { type: "Alive"; inProgress: string[]; dataCentre: string; known: KnownRevisions; }
+    /** Sent when the store told the sender of a change. */
+    | { type: "Changed"; known: KnownRevisions; }
     | { type: "Stopping"; };
 
 /** What one datagram holds. */
--- /dev/null
+++ b/src/ports/peerStatePort.ts
@@ -0,0 +1,15 @@
+/** What the core needs to ask another entry for stored objects. */
+import type { StateNews } from "../core/configuration/stateMirror.js";
+import type { Milliseconds } from "../utils/clock.js";
+import type { StateKind, StateValues } from "./statePort.js";
+
+/** Questions to other entries. */
+export interface PeerStatePort {
+    /** What the entry at `address` knows after `revision`. Undefined when it knows no more, or doesn't answer in time. */
+    ask<Kind extends StateKind>(
+        address: string,
+        kind: Kind,
+        revision: number,
+        limit: Milliseconds,
+    ): Promise<StateNews<StateValues[Kind]> | undefined>;
+}
