--- a/__tests__/forwarding/logs.test.ts
+++ b/__tests__/forwarding/logs.test.ts
@@ -1,6 +1,7 @@
 /** Logs are bounded and never hold up requests. */
 import { expect, test } from "vitest";
 import { BoundedLogStream } from "../../src/utils/logStream.js";
+import { call, generation, Site } from "./support/site.js";
 
 const fixture = () => {
     const state = { now: 0, lines: [] as string[], waiting: 0 };
@@ -39,3 +40,23 @@
     expect(JSON.parse(state.lines[0]!)).toMatchObject({ msg: "log: Lines were dropped.", lines: 1_000 });
     expect(state.lines).toHaveLength(2);
 });
+
+test("metrics are served", async () => {
+    const site = new Site();
+    await site.replica("m-1", "models");
+    await site.replica("i-1", "bookings");
+    site.configure(1);
+    const entry = await site.start("entry-1");
+    await call(entry.callers, "/replies/a", { headers: generation(1_000, 20) });
+    await call(entry.callers, "/lookups/a");
+    await call(entry.callers, "/nowhere/");
+    const text = (await call(entry.metrics, "/metrics", { method: "GET" })).body;
+    await site.close();
+    expect(text).toContain("dandelionramp_requests_total{kind=\"streaming\"} 1");
+    expect(text).toContain("dandelionramp_requests_total{kind=\"idempotent\"} 1");
+    expect(text).toContain("dandelionramp_failures_total{kind=\"unknown-route\"} 1");
+    expect(text).toContain("dandelionramp_first_event_milliseconds_count 1");
+    expect(text).toMatch(/dandelionramp_answer_milliseconds\{quantile="0.99"\} \d+/);
+    expect(text).toContain("dandelionramp_ready 1");
+    expect(text).not.toContain("NaN");
+});
--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -100,6 +100,7 @@
     door: StoreDoor;
     callers: string;
     readiness: string;
+    metrics: string;
     peers: string;
 }
 
--- a/src/adapters/callers/generationRoutes.ts
+++ b/src/adapters/callers/generationRoutes.ts
@@ -15,6 +15,7 @@
     GenerationRequest,
     GenerationShape,
     idempotencyKeyOf,
+    Lane,
     laneOf,
     modelList,
     ObjectKind,
@@ -118,7 +119,11 @@
     let first = true;
     for await (const piece of pieces) {
         if (first) {
-            node.metrics.firstTokenAfter(request.work.lane, node.now() - startedAt);
+            node.metrics.observe(
+                "first_token_milliseconds",
+                node.now() - startedAt,
+                `lane="${Lane[request.work.lane].toLowerCase()}"`,
+            );
             node.ports.timeline.record("callers", "first-token", request.work.requestId);
             first = false;
         }
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -9,6 +9,7 @@
 import { Membership } from "../../core/membership/membership.js";
 import { Peers } from "../../core/membership/peers.js";
 import { PeerState } from "../../core/membership/peerState.js";
+import { Metrics } from "../../core/metrics.js";
 import { FailureView } from "../../core/placement/failureView.js";
 import { type EndpointLoad, LoadView } from "../../core/placement/loadView.js";
 import { Placer } from "../../core/placement/placer.js";
@@ -25,6 +26,7 @@
 import { CallerPort } from "./callerPort.js";
 import { EndpointClient } from "./endpointClient.js";
 import type { ForwardingSettings } from "./entrySettings.js";
+import { serveMetrics } from "./metricsPort.js";
 import { PeerSocket } from "./peerSocket.js";
 import { PeerStateClient, servePeerState } from "./peerStateServer.js";
 import { serveReadiness } from "./readinessPort.js";
@@ -54,6 +56,8 @@
     memory: MemoryPort;
     wire: ForwardingWire;
     log: (part: string) => PartLog;
+    /** Gauges of the program around it. */
+    gauges?: () => Record<string, number>;
 }
 
 type FollowedKind = Exclude<StateKind, StateKind.Entries>;
@@ -63,6 +67,7 @@
 export class ForwardingEntry {
     readonly configuration = new ActiveConfiguration();
     readonly directory: EndpointDirectory;
+    readonly metrics = new Metrics();
     readonly forwarder: Forwarder;
     private readonly callers: CallerPort;
     private readonly loads: SharedLoads;
@@ -73,6 +78,7 @@
     private readonly log: PartLog;
     private readonly ending = new AbortController();
     private readiness: Listener | undefined;
+    private metricsListener: Listener | undefined;
     /** Answers other entries' questions. */
     private questions: Listener | undefined;
     private readonly followers: Followers;
@@ -122,6 +128,7 @@
                 () => this.membership.size,
             ),
             cold: new ColdBudget(clock, () => this.settings.cold, this.membership),
+            metrics: this.metrics,
             entry: settings.instance.id,
             dataCentre: settings.instance.dataCentre,
             endsAt: () => this.endsAt,
@@ -157,9 +164,10 @@
     }
 
     /** Starts listening and following the store; resolves with the real addresses. */
-    async start(): Promise<{ callers: string; readiness: string; peers: string; }> {
+    async start(): Promise<{ callers: string; readiness: string; peers: string; metrics: string; }> {
         const { listen, instance } = this.settings;
         this.readiness = await serveReadiness(listen.readiness, () => this.ready);
+        this.metricsListener = await serveMetrics(listen.metrics, () => this.metrics.text(this.gauges()));
         this.self.address = await this.peerSocket.listen(listen.peers);
         this.questions = await servePeerState(this.self.address, this.stateLookup, this.parts.log("peers"));
         this.run("the heartbeat", this.peers.sayAlive(this.ending.signal));
@@ -169,7 +177,12 @@
         }
         const callers = await this.callers.listen(listen.callers);
         this.log.info("The entry has started.", { instance: instance.id, callers });
-        return { callers, readiness: this.readiness.address, peers: this.self.address };
+        return {
+            callers,
+            readiness: this.readiness.address,
+            peers: this.self.address,
+            metrics: this.metricsListener.address,
+        };
     }
 
     /** Takes changed settings. Addresses that it listens on stay until the next start. */
@@ -213,12 +226,32 @@
         }
         this.ending.abort();
         this.peerSocket.close();
-        await Promise.all([this.callers.close(), this.readiness?.close(), this.questions?.close()]);
+        await Promise.all([
+            this.callers.close(),
+            this.readiness?.close(),
+            this.questions?.close(),
+            this.metricsListener?.close(),
+        ]);
     }
 
     private readonly stateLookup = (kind: StateKind, revision: number): StateNews<unknown> | undefined =>
         kind === StateKind.Entries ? undefined : this.followers[kind].mirror.since(revision);
 
+    private gauges(): Record<string, number> {
+        const { user, system } = process.cpuUsage();
+        return {
+            ready: this.ready ? 1 : 0,
+            active_requests: this.forwarder.active,
+            caller_connections: this.callers.connections,
+            configuration_version: this.configuration.version,
+            living_entries: this.peers.living,
+            counted_entries: this.membership.size,
+            resident_memory_bytes: process.memoryUsage.rss(),
+            processor_milliseconds_total: Math.round((user + system) / 1_000),
+            ...this.parts.gauges?.(),
+        };
+    }
+
     private knownRevisions(): KnownRevisions {
         const known: KnownRevisions = {};
         for (const [kind, { mirror }] of Object.entries(this.followers)) {
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -9,6 +9,7 @@
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import { Execution, FailureKind, RequestFailure } from "../failures.js";
 import type { EndpointDirectory } from "../membership/endpointDirectory.js";
+import type { Metrics } from "../metrics.js";
 import type { FailureView } from "../placement/failureView.js";
 import type { Placer } from "../placement/placer.js";
 import type { SharedLoads } from "../placement/sharedLoads.js";
@@ -32,6 +33,7 @@
     failures: FailureView;
     repeats: RepeatBudget;
     cold: ColdBudget;
+    metrics: Metrics;
     /** Name of this entry, and its data centre. */
     entry: string;
     dataCentre: string;
@@ -75,13 +77,14 @@
     }
 
     private async forward(exchange: CallerExchange): Promise<void> {
-        const { configuration, directory, random, repeats } = this.parts;
+        const { configuration, directory, random, repeats, metrics } = this.parts;
         const admission = admit(exchange.head, configuration.routes, random);
         if (!directory.ready) {
             const detail = "this entry has not learned its endpoints yet";
             throw new RequestFailure(FailureKind.NoEndpoint, Execution.NotRun, detail, notListedRetrySeconds);
         }
         repeats.request(admission.service.name);
+        metrics.count("requests_total", `kind="${admission.route.kind}"`);
         const limits = configuration.routes!.configuration.limits;
         const body = await exchange.readBody(limits.bodyBytes);
         await new RequestTask(this.parts, exchange, { ...exchange.head, body }, admission).run();
@@ -89,12 +92,14 @@
 
     private fail(exchange: CallerExchange, error: unknown): void {
         if (exchange.left.aborted) {
+            this.parts.metrics.count("callers_left_total");
             this.parts.log.info("The caller has left.", { requestId: exchange.head.id });
             return;
         }
         const failure = error instanceof RequestFailure
             ? error
             : new RequestFailure(FailureKind.Internal, Execution.Unknown, String(error));
+        this.parts.metrics.count("failures_total", `kind="${failure.kind}"`);
         this.parts.log.warn("A request failed.", {
             requestId: exchange.head.id,
             kind: failure.kind,
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -60,6 +60,7 @@
     /** Times of events, since the arrival. */
     private firstEventAfter: Milliseconds | undefined;
     private eventAt: Milliseconds | undefined;
+    private predictedFirstEvent: Milliseconds = 0;
     private longestPause: Milliseconds = 0;
     /** An endpoint's own failure, to be passed on when no other send does better. */
     private kept: KeptAnswer | undefined;
@@ -115,6 +116,7 @@
         switch (outcome.type) {
             case "NoMemory":
                 this.sends--;
+                this.parts.metrics.count("memory_lacking_total");
                 this.lacking = new Set([...this.lacking, ...outcome.lacking]);
                 await this.pauseForMemory();
                 return false;
@@ -140,6 +142,7 @@
                 failures.lost(id);
                 this.broken.add(id);
                 this.mayHaveRun = true;
+                this.parts.metrics.count("endpoint_breaks_total");
                 this.note("An endpoint broke off.", endpoint, { reason: outcome.reason });
                 this.sendAgainOrFail(FailureKind.OutcomeUnknown, `the endpoint broke off: ${outcome.reason}`);
                 return false;
@@ -175,6 +178,7 @@
         else {
             failures.failed(id);
         }
+        this.parts.metrics.count("endpoint_refusals_total", `reason="${outcome.reason}"`);
         this.note("An endpoint refused.", endpoint, { reason: outcome.reason, atFault: outcome.atFault });
     }
 
@@ -197,6 +201,7 @@
             throw new StreamBrokenError(`the endpoint answered ${head.status} where the stream goes on`);
         }
         this.exchange.answer(head, body);
+        this.parts.metrics.observe("answer_milliseconds", this.parts.clock.now() - this.request.arrivedAt);
         this.note("Answered.", endpoint, { status: head.status });
         return true;
     }
@@ -214,6 +219,7 @@
             this.checkTime();
             this.parts.failures.lost(endpoint.record.id);
             this.broken.add(endpoint.record.id);
+            this.parts.metrics.count("endpoint_breaks_total");
             this.note("A stream broke off.", endpoint, { lastEvent: this.lastEvent, reason: describeError(error) });
             if (this.begun && this.lastEvent === undefined) {
                 throw error;
@@ -224,6 +230,7 @@
         this.parts.failures.succeeded(endpoint.record.id);
         this.exchange.end();
         const { lastEvent, firstEventAfter, longestPause } = this;
+        this.parts.metrics.observe("longest_pause_milliseconds", longestPause);
         this.note("Streamed.", endpoint, { status: head.status, lastEvent, firstEventAfter, longestPause });
         return true;
     }
@@ -256,7 +263,13 @@
 
     private noteEvent(): void {
         const now = Math.round(this.parts.clock.now() - this.request.arrivedAt);
-        this.firstEventAfter ??= now;
+        if (this.firstEventAfter === undefined) {
+            this.firstEventAfter = now;
+            this.parts.metrics.observe("first_event_milliseconds", now);
+            const error = now - this.predictedFirstEvent;
+            const side = error > 0 ? "late" : "early";
+            this.parts.metrics.observe("prediction_error_milliseconds", Math.abs(error), `side="${side}"`);
+        }
         this.longestPause = Math.max(this.longestPause, now - (this.eventAt ?? now));
         this.eventAt = now;
     }
@@ -327,13 +340,15 @@
 
     private async send(placement: Placement): Promise<DispatchOutcome> {
         const { endpoint, helpers, shares, firstEvent } = placement;
+        this.predictedFirstEvent = this.parts.clock.now() - this.request.arrivedAt + firstEvent;
         this.sends++;
         this.tries++;
+        this.parts.metrics.count(this.tries > 1 ? "repeats_total" : "first_sends_total");
         this.note("Sent.", endpoint, {
             route: this.admission.route.name,
             version: this.admission.version,
             promptTokens: this.request.size?.promptTokens,
-            helpers: helpers.length,
+            helpers: helpers.length > 0 ? helpers.map(({ record }) => record.id) : undefined,
             reservations: shares.length,
             predicted: Math.round(firstEvent),
             timeLeft: Math.round(this.timeLeft),
@@ -404,6 +419,7 @@
     /** Ends a request for which no answer came: the last failure of an endpoint, a broken stream, or our own failure. */
     private finishWithout(error: unknown): void {
         if (this.begun) {
+            this.parts.metrics.count("streams_cut_total");
             this.note("A stream was cut.", undefined, { lastEvent: this.lastEvent, reason: describeError(error) });
             this.exchange.cut();
             return;
--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -1,27 +1,43 @@
 /** Counts and histograms of one entry, in the text format that metric collectors read. */
-import { build, Histogram } from "hdr-histogram-js";
-import { Lane, Milliseconds } from "../internal.js";
+import { build, type Histogram } from "hdr-histogram-js";
+import type { Milliseconds } from "../utils/clock.js";
 
+/** Longer durations count as this long: an hour. */
 const highestMilliseconds = 3_600_000;
 const quantiles = [50, 95, 99];
 
 const newHistogram = (): Histogram =>
     build({ lowestDiscernibleValue: 1, highestTrackableValue: highestMilliseconds, numberOfSignificantValueDigits: 2 });
 
-/** Metrics of one entry. */
+const keyOf = (name: string, labels: string): string => labels === "" ? name : `${name}{${labels}}`;
+
+/**
+ * Metrics of one entry. Labels come as a ready list such as `kind="overloaded"`; only words of the code belong there,
+ * never what callers sent, since each new list of labels is kept for the life of the process.
+ */
 export class Metrics {
     private readonly counters = new Map<string, number>();
-    private readonly firstToken = new Map<Lane, Histogram>([[Lane.Short, newHistogram()], [Lane.Long, newHistogram()]]);
+    private readonly durations = new Map<
+        string,
+        { name: string; labels: string; histogram: Histogram; sum: number; }
+    >();
 
-    /** Adds one to a counter; `labels` is a ready label list such as `kind="overloaded"`. */
+    /** Adds one to a counter. */
     count(name: string, labels = ""): void {
-        const key = labels === "" ? name : `${name}{${labels}}`;
+        const key = keyOf(name, labels);
         this.counters.set(key, (this.counters.get(key) ?? 0) + 1);
     }
 
-    /** Notes a time to first token. */
-    firstTokenAfter(lane: Lane, duration: Milliseconds): void {
-        this.firstToken.get(lane)?.recordValue(Math.min(highestMilliseconds, Math.max(1, Math.round(duration))));
+    /** Notes a duration; `name` ends in the unit, milliseconds. */
+    observe(name: string, duration: Milliseconds, labels = ""): void {
+        const key = keyOf(name, labels);
+        let kept = this.durations.get(key);
+        if (!kept) {
+            kept = { name, labels, histogram: newHistogram(), sum: 0 };
+            this.durations.set(key, kept);
+        }
+        kept.sum += duration;
+        kept.histogram.recordValue(Math.min(highestMilliseconds, Math.max(1, Math.round(duration))));
     }
 
     /** Everything, with `gauges` of the moment. */
@@ -33,12 +49,14 @@
         for (const [name, value] of Object.entries(gauges)) {
             lines.push(`dandelionramp_${name} ${value}`);
         }
-        for (const [lane, histogram] of this.firstToken) {
+        for (const { name, labels, histogram, sum } of this.durations.values()) {
+            const separator = labels === "" ? "" : ",";
             for (const quantile of quantiles) {
-                const labels = `lane="${Lane[lane].toLowerCase()}",quantile="${quantile / 100}"`;
-                const value = histogram.getValueAtPercentile(quantile);
-                lines.push(`dandelionramp_first_token_milliseconds{${labels}} ${value}`);
+                const all = `${labels}${separator}quantile="${quantile / 100}"`;
+                lines.push(`dandelionramp_${name}{${all}} ${histogram.getValueAtPercentile(quantile)}`);
             }
+            lines.push(`dandelionramp_${keyOf(`${name}_sum`, labels)} ${Math.round(sum)}`);
+            lines.push(`dandelionramp_${keyOf(`${name}_count`, labels)} ${histogram.totalCount}`);
         }
         return `${lines.join("\n")}\n`;
     }
--- a/src/utils/logStream.ts
+++ b/src/utils/logStream.ts
@@ -33,6 +33,7 @@
  */
 export class BoundedLogStream {
     private dropped = 0;
+    private droppedInAll = 0;
     private windowStart: Milliseconds = -Infinity;
     private windowLines = 0;
 
@@ -41,6 +42,7 @@
     write(record: LogRecord): void {
         if (!this.hasRoom(record.level)) {
             this.dropped++;
+            this.droppedInAll++;
             return;
         }
         if (this.dropped > 0) {
@@ -53,6 +55,11 @@
         this.sink.write(`${JSON.stringify(record)}\n`);
     }
 
+    /** Lines that were dropped since the start. */
+    get droppedTotal(): number {
+        return this.droppedInAll;
+    }
+
     private hasRoom(level: number): boolean {
         const now = this.clock.now();
         if (now - this.windowStart >= second) {
