--- a/__tests__/forwarding/membership.test.ts
+++ b/__tests__/forwarding/membership.test.ts
@@ -1,10 +1,12 @@
 /** Who counts as an entry, for budgets that hold over all of them. */
 import { expect, test } from "vitest";
+import { fanOut, type GroupMember, groupOf } from "../../src/core/membership/fanOut.js";
 import { Membership } from "../../src/core/membership/membership.js";
 import { Peers } from "../../src/core/membership/peers.js";
 import { LoadView } from "../../src/core/placement/loadView.js";
 import { SharedLoads } from "../../src/core/placement/sharedLoads.js";
 import type { Clock } from "../../src/utils/clock.js";
+import { seededRandom } from "../../src/utils/random.js";
 
 class Fixture {
     time = 0;
@@ -20,6 +22,7 @@
             channel: { send: addresses => this.told.push(addresses) },
             loads: new SharedLoads(new LoadView(this.clock)),
             tellsLoads: false,
+            random: seededRandom(1),
             self: { id: self, address: "10.0.0.0:1", incarnation: "a" },
             dataCentre: "north",
             known: () => ({}),
@@ -36,7 +39,7 @@
     }
 
     hear(id: string): void {
-        this.peers.hear({ from: { id, address: `${id}:1`, incarnation: "a" }, news: [] });
+        this.peers.hear({ from: { id, address: `${id}:1`, incarnation: "a" }, news: [], passOn: false });
     }
 }
 
@@ -88,3 +91,30 @@
     fixture.time = 30_000;
     expect(fixture.peers.lost()).toEqual([]);
 });
+
+const membersOf = (count: number): GroupMember[] =>
+    [...Array(count).keys()].map(index => ({
+        id: `e-${index}`,
+        address: `10.0.0.${index}:1`,
+        dataCentre: `z-${index % 3}`,
+    }));
+
+for (const count of [1, 6, 13, 14, 62, 85, 330]) {
+    test(`message reaches all of ${count} entries once, and costs each little`, () => {
+        // What one entry sends for each placement must not grow with the number of entries: over a thin link the last of sixty
+        // would hear of it 25 ms later, and choose the same endpoints meanwhile.
+        const members = membersOf(count);
+        const [self, ...others] = members;
+        const random = seededRandom(1);
+        const { direct, relays } = fanOut(self!, others, random);
+        const reached = [...direct, ...relays];
+        for (const relay of relays) {
+            const member = members.find(({ address }) => address === relay)!;
+            const passed = groupOf(member, members.filter(other => other !== member));
+            expect(passed.length).toBeLessThanOrEqual(Math.max(12, Math.sqrt(count)));
+            reached.push(...passed);
+        }
+        expect(reached.sort()).toEqual(others.map(({ address }) => address).sort());
+        expect(direct.length + relays.length).toBeLessThanOrEqual(Math.max(12, 2.2 * Math.sqrt(3 * count)));
+    });
+}
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -100,6 +100,7 @@
             clock,
             log: log("peers"),
             channel: this.peerSocket,
+            random,
             loads: this.loads,
             tellsLoads: settings.placement.shared,
             self: this.self,
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -27,6 +27,7 @@
 
 const message = z.object({
     from: z.object({ id: z.string(), address: z.string(), incarnation: z.string() }),
+    passOn: z.boolean(),
     news: z.array(z.discriminatedUnion("type", [
         z.object({ type: z.literal("Placed"), work, parts: z.array(part) }),
         z.object({ type: z.literal("Writing"), endpoint: z.string(), id: z.string() }),
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -11,10 +11,17 @@
 import { describeError } from "../../utils/errors.js";
 import { Execution, FailureKind, RequestFailure } from "../failures.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
-import type { Placement } from "../placement/placer.js";
+import { type Placement, valueOf } from "../placement/placer.js";
 import type { Admission } from "./admission.js";
 import type { ForwardingParts } from "./forwarder.js";
-import { busyRetrySeconds, noEndpointRetrySeconds, patienceOf, rejectBeforeStop, rejectHopeless } from "./overload.js";
+import {
+    busyRetrySeconds,
+    noEndpointRetrySeconds,
+    patienceOf,
+    rejectBeforeStop,
+    rejectDear,
+    rejectHopeless,
+} from "./overload.js";
 import { type DispatchOutcome, Sender } from "./sender.js";
 
 /**
@@ -326,12 +333,14 @@
     }
 
     /** Turns a request away that was not sent yet and can't end in time. */
-    private checkWorth({ whole, firstEvent }: Placement, waited: Milliseconds): void {
+    private checkWorth(placement: Placement, waited: Milliseconds): void {
+        const { whole, firstEvent, readAlone, meanBacklog } = placement;
         if (this.sends > 0 || this.begun) {
             return;
         }
         const endsAt = this.parts.endsAt();
         const rejection = (endsAt === undefined ? undefined : rejectBeforeStop(whole, endsAt - this.parts.clock.now()))
+            ?? rejectDear(valueOf(this.request.size?.promptTokens ?? 0), readAlone, meanBacklog)
             ?? rejectHopeless(this.admission.route, firstEvent, waited, this.timeLeft);
         if (rejection) {
             throw this.failure(rejection.kind, rejection.detail, rejection.retryAfterSeconds);
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -2,8 +2,10 @@
 import type { KnownRevisions, PeerIdentity, PeerMessage, PeerNews, PeerNewsPort } from "../../ports/peerNewsPort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
+import type { Random } from "../../utils/random.js";
 import type { PlacedWork } from "../placement/loadView.js";
 import type { LoadNews, SharedLoads } from "../placement/sharedLoads.js";
+import { fanOut, type GroupMember, groupOf } from "./fanOut.js";
 
 /** How often an entry says that it lives. A lost message about an end is put right by the next one. */
 export const aliveInterval: Milliseconds = 500;
@@ -43,6 +45,7 @@
     loads: SharedLoads;
     /** Whether the others hear what this entry places. */
     tellsLoads: boolean;
+    random: Random;
     self: PeerIdentity;
     dataCentre: string;
     /** What this entry knows of stored objects. */
@@ -133,10 +136,14 @@
     }
 
     /** Takes a datagram. */
-    hear({ from, news }: PeerMessage): void {
+    hear({ from, news, passOn }: PeerMessage): void {
         if (from.id === this.parts.self.id) {
             return;
         }
+        if (passOn) {
+            const group = groupOf(this.ownMember(), this.members());
+            this.parts.channel.send(group, { from, news, passOn: false });
+        }
         this.note(from);
         for (const piece of news) {
             this.take(from, piece);
@@ -242,17 +249,35 @@
         const all = news ? [...this.gathered, news] : this.gathered;
         this.gathered = [];
         const now = this.parts.clock.now();
-        const addresses: string[] = [];
-        for (const { identity, knownAt } of this.peers.values()) {
-            if (now - knownAt < forgottenAfter) {
-                addresses.push(identity.address);
+        if (all.length === 0) {
+            return;
+        }
+        const { direct, relays } = fanOut(this.ownMember(), this.members(), this.parts.random);
+        for (const { identity, heardAt, knownAt } of this.peers.values()) {
+            // An entry that isn't heard of may hear; it is in no group.
+            if (now - heardAt >= silentAfter && now - knownAt < forgottenAfter) {
+                direct.push(identity.address);
             }
         }
-        if (all.length > 0 && addresses.length > 0) {
-            this.parts.channel.send(addresses, { from: this.parts.self, news: all });
+        this.send(direct, all, false);
+        this.send(relays, all, true);
+    }
+
+    private send(addresses: readonly string[], news: PeerNews[], passOn: boolean): void {
+        if (addresses.length > 0) {
+            this.parts.channel.send(addresses, { from: this.parts.self, news, passOn });
         }
     }
 
+    private ownMember(): GroupMember {
+        const { self, dataCentre } = this.parts;
+        return { id: self.id, address: self.address, dataCentre };
+    }
+
+    private members(): GroupMember[] {
+        return this.others().map(({ identity: { id, address }, dataCentre }) => ({ id, address, dataCentre }));
+    }
+
     private forget(): void {
         const now = this.parts.clock.now();
         for (const [id, peer] of this.peers) {
--- a/src/core/placement/loadView.ts
+++ b/src/core/placement/loadView.ts
@@ -103,6 +103,10 @@
             works = new Map();
             this.byEndpoint.set(work.endpoint, works);
         }
+        if (works.has(work.id)) {
+            // Told twice; counted again it would seem to read behind itself.
+            return;
+        }
         let freeAt = now;
         for (const other of works.values()) {
             freeAt = Math.max(freeAt, other.writing || other.yielding ? 0 : other.readUntil);
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -63,6 +63,10 @@
     shares: readonly TeamShare[];
     /** Predicted time of reading at each of them. */
     readTime: Milliseconds;
+    /** Predicted time of reading all of it on one endpoint. */
+    readAlone: Milliseconds;
+    /** Mean time until the endpoints that it could go to have read what they have. */
+    meanBacklog: Milliseconds;
     /** Predicted time to the first event, or to the answer's start for plain services. */
     firstEvent: Milliseconds;
     /** Whether it would be late and should let later requests go first. */
@@ -108,6 +112,8 @@
                 helpers: [],
                 shares: [],
                 readTime: 0,
+                readAlone: 0,
+                meanBacklog: 0,
                 firstEvent: 0,
                 yields: false,
                 whole: need.targetLatency,
@@ -120,8 +126,14 @@
         candidates: readonly KnownEndpoint[],
     ): Placement | undefined {
         const alone = readTime(engine, need.promptTokens);
-        if (alone > longRead || need.promptTokens + need.answerTokens > engine.memoryTokens) {
-            return this.placeTeam(need, engine, candidates);
+        if (need.promptTokens + need.answerTokens > engine.memoryTokens) {
+            return this.placeTeam(need, engine, candidates, candidates);
+        }
+        if (alone > longRead) {
+            const idle = candidates.filter(({ record }) => this.isIdle(record.id));
+            if (idle.length > 1) {
+                return this.placeTeam(need, engine, idle, candidates);
+            }
         }
         const endpoint = cheapest(candidates, candidate => {
             const load = this.loads.load(candidate.record.id);
@@ -136,12 +148,27 @@
         const yields = slotWait(engine, load, need.answerTokens) > need.targetLeft;
         const behind = yields ? firstEvent + overtakenWait(engine, load, need.answerTokens) : firstEvent;
         const whole = behind + writing;
-        return { endpoint, helpers: [], shares: [], readTime: alone, firstEvent: behind, yields, whole };
+        const reading = { readTime: alone, readAlone: alone, meanBacklog: this.meanBacklog(candidates) };
+        return { endpoint, helpers: [], shares: [], ...reading, firstEvent: behind, yields, whole };
+    }
+
+    private meanBacklog(candidates: readonly KnownEndpoint[]): Milliseconds {
+        let sum = 0;
+        for (const { record } of candidates) {
+            sum += this.loads.load(record.id).readBacklog;
+        }
+        return sum / candidates.length;
+    }
+
+    private isIdle(endpoint: string): boolean {
+        const { readers, writers } = this.loads.load(endpoint);
+        return readers === 0 && writers === 0;
     }
 
     private placeTeam(
         need: PlacementNeed,
         engine: EngineProfile,
+        members: readonly KnownEndpoint[],
         candidates: readonly KnownEndpoint[],
     ): Placement | undefined {
         const value = valueOf(need.promptTokens);
@@ -149,7 +176,7 @@
             engine,
             promptTokens: need.promptTokens,
             answerTokens: need.answerTokens,
-            candidates: candidates.filter(({ record }) => !need.lacking.has(record.id)),
+            candidates: members.filter(({ record }) => !need.lacking.has(record.id)),
             loadOf: ({ record }) => this.loads.load(record.id),
             lossOf: firstEvent =>
                 queueCost * value * firstEvent / need.targetLatency
@@ -175,7 +202,9 @@
             contextTokens + (shares[0]?.tokens ?? need.promptTokens),
         );
         const whole = firstEvent + writing;
-        return { endpoint: endpoint!, helpers, shares, readTime: part, firstEvent, yields: false, whole };
+        const reading = { readTime: part, readAlone: readTime(engine, need.promptTokens) };
+        const meanBacklog = this.meanBacklog(candidates);
+        return { endpoint: endpoint!, helpers, shares, ...reading, meanBacklog, firstEvent, yields: false, whole };
     }
 
     /** What is lost by placing a read of `part` at a candidate. */
--- a/src/core/placement/team.ts
+++ b/src/core/placement/team.ts
@@ -65,10 +65,11 @@
 
 /** The team that loses least; undefined when no team has the memory. */
 export const chooseTeam = (need: TeamNeed): Team | undefined => {
-    const members = rankedMembers(need, partAtLeast);
+    const ranked = rankedMembers(need, partAtLeast);
     const tokens = need.promptTokens + need.answerTokens;
     const alone = readTime(need.engine, need.promptTokens);
     const overMemory = tokens > need.engine.memoryTokens;
+    const members = overMemory ? ranked : withoutReaders(ranked);
     let best: Team | undefined;
     let bestLoss = Infinity;
     const readersForMemory = overMemory ? members.length : 1;
@@ -132,6 +133,20 @@
         .map(({ member }) => member);
 };
 
+/**
+ * Endpoints that read nothing; the one that has read most of what it has where there is none. Parts for others go before
+ * the endpoint's own reads: under a load of long prompts each newcomer would overtake those that came before, and all of
+ * them would be given up.
+ */
+const withoutReaders = (members: readonly Member[]): readonly Member[] => {
+    const free = members.filter(({ load }) => load.readers === 0);
+    if (free.length > 0) {
+        return free;
+    }
+    const soonest = [...members].sort((left, right) => left.load.readBacklog - right.load.readBacklog);
+    return soonest.slice(0, 1);
+};
+
 /** Memory in as few members as hold it, the first one included; undefined when all together don't. */
 const sharesOf = (members: readonly Member[], tokens: number): TeamShare[] | undefined => {
     const [first, ...others] = members;
--- a/src/ports/peerNewsPort.ts
+++ b/src/ports/peerNewsPort.ts
@@ -41,6 +41,8 @@
 export interface PeerMessage {
     from: PeerIdentity;
     news: PeerNews[];
+    /** Whether the receiver is to tell the others of its group. */
+    passOn: boolean;
 }
 
 /** The channel. */
