Streams to callers in a module of their own; a silent endpoint is left only with a repeat in hand

The repeat of a silent endpoint is taken when it is left, so that no other request can take it between the look and the send, and a stream without event numbers is never left, since nothing could continue it.

--- a/__tests__/forwarding/requests.test.ts
+++ b/__tests__/forwarding/requests.test.ts
@@ -345,3 +345,46 @@
     expect((await call(entry.callers, "/replies/a", { headers })).status).toBe(200);
     expect(site.lines.filter(({ message }) => message === "request: An endpoint refused.")).toHaveLength(1);
 });
+
+test("silent endpoint is left for another", async () => {
+    // An endpoint takes a request and says nothing more, though its health is good. Without a bound the caller would give up
+    // after two seconds, or wait for its deadline.
+    const { first, second, entry } = await models();
+    for (const silent of [first, second]) {
+        silent.fault = () => first.arrivals.length + second.arrivals.length === 1;
+    }
+    const answer = await call(entry.callers, "/replies/a", { id: "r-1", headers: generation(1_000, 20) });
+    expect(answer.status).toBe(200);
+    expect(eventIds(answer.body)).toEqual([1, 2, 3, 4, 5]);
+    expect(first.arrivals.length + second.arrivals.length).toBe(2);
+    await until(() => first.cancelled.length + second.cancelled.length === 1);
+});
+
+test("stream that falls silent goes on elsewhere", async () => {
+    const { first, second, entry } = await models();
+    for (const silent of [first, second]) {
+        silent.fault = ({ id }, response, replica) => {
+            if (first.arrivals.length + second.arrivals.length > 1) {
+                return false;
+            }
+            response.writeHead(200, { ...replica.answerHeaders(id), "content-type": "text/event-stream" });
+            response.write("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+            return true;
+        };
+    }
+    const answer = await call(entry.callers, "/replies/a", { id: "r-1", headers: generation(1_000, 20) });
+    expect(answer.whole).toBe(true);
+    expect(eventIds(answer.body)).toEqual([1, 2, 3, 4, 5]);
+});
+
+test("silent endpoint is not left by what must run once", async () => {
+    // A booking may have run where nothing is heard of it. It waits for its time to be over, and is told that nobody knows.
+    const { replica, entry } = await bookings();
+    const other = await site.replica("i-2", "bookings");
+    await until(() => entry.entry.directory.usable("bookings").length === 2);
+    replica.fault = () => true;
+    other.fault = () => true;
+    const answer = await call(entry.callers, "/pairs/a", { id: "r-1" });
+    expect(answer.status).toBe(504);
+    expect(replica.arrivals.length + other.arrivals.length).toBe(1);
+});
--- a/src/core/budgets/repeatBudget.ts
+++ b/src/core/budgets/repeatBudget.ts
@@ -36,20 +36,16 @@
         this.window(this.requests, service).add();
     }
 
-    /** Whether one more repeat may be taken. */
-    available(service: string): boolean {
+    /** Takes one repeat; false when the budget is spent. */
+    take(service: string): boolean {
         const requests = this.window(this.requests, service).count();
         const { share, extra } = this.limits();
         const allowed = usedPart * (share * requests + extra / this.entries());
-        return this.window(this.repeats, service).count() + 1 <= allowed;
-    }
-
-    /** Takes one repeat; false when the budget is spent. */
-    take(service: string): boolean {
-        if (!this.available(service)) {
+        const repeats = this.window(this.repeats, service);
+        if (repeats.count() + 1 > allowed) {
             return false;
         }
-        this.window(this.repeats, service).add();
+        repeats.add();
         return true;
     }
 
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -23,6 +23,7 @@
     rejectHopeless,
 } from "./overload.js";
 import { type DispatchOutcome, Sender } from "./sender.js";
+import { StreamRelay } from "./streamRelay.js";
 
 /**
  * Endpoints that can't be reached are passed over this often; each costs the wait for a connection. They got nothing, so
@@ -62,13 +63,9 @@
     private tries = 0;
     private unreached = 0;
     private mayHaveRun = false;
-    private begun = false;
-    private lastEvent: string | undefined;
-    /** Times of events, since the arrival. */
-    private firstEventAfter: Milliseconds | undefined;
-    private eventAt: Milliseconds | undefined;
-    private predictedFirstEvent: Milliseconds = 0;
-    private longestPause: Milliseconds = 0;
+    private readonly relay: StreamRelay;
+    /** A repeat was taken from the budget when a silent endpoint was left. */
+    private repeatTaken = false;
     /** An endpoint's own failure, to be passed on when no other send does better. */
     private kept: KeptAnswer | undefined;
     /** Endpoints that had less memory than was believed. */
@@ -80,7 +77,7 @@
         private readonly request: ForwardedRequest,
         private readonly admission: Admission,
     ) {
-        this.lastEvent = request.resumeAfter;
+        this.relay = new StreamRelay(parts.clock, parts.metrics, exchange);
     }
 
     /** Runs the request to its end. Throws {@link RequestFailure} when there is no answer to pass on. */
@@ -204,7 +201,7 @@
         else {
             this.parts.failures.succeeded(endpoint.record.id);
         }
-        if (this.begun) {
+        if (this.relay.begun) {
             throw new StreamBrokenError(`the endpoint answered ${head.status} where the stream goes on`);
         }
         this.exchange.answer(head, body);
@@ -220,15 +217,18 @@
     ): Promise<boolean> {
         this.mayHaveRun = true;
         try {
-            await this.passEvents(endpoint, head, events);
+            await this.relay.pass(head, events, () => this.parts.loads.writes(endpoint.record.id, this.request.id));
         }
         catch (error) {
             this.checkTime();
             this.parts.failures.lost(endpoint.record.id);
             this.broken.add(endpoint.record.id);
             this.parts.metrics.count("endpoint_breaks_total");
-            this.note("A stream broke off.", endpoint, { lastEvent: this.lastEvent, reason: describeError(error) });
-            if (this.begun && this.lastEvent === undefined) {
+            this.note("A stream broke off.", endpoint, {
+                lastEvent: this.relay.lastEvent,
+                reason: describeError(error),
+            });
+            if (!this.relay.canContinue) {
                 throw error;
             }
             this.sendAgainOrFail(FailureKind.OutcomeUnknown, `the stream broke off: ${describeError(error)}`);
@@ -236,61 +236,12 @@
         }
         this.parts.failures.succeeded(endpoint.record.id);
         this.exchange.end();
-        const { lastEvent, firstEventAfter, longestPause } = this;
+        const { lastEvent, firstEventAfter, longestPause } = this.relay;
         this.parts.metrics.observe("longest_pause_milliseconds", longestPause);
         this.note("Streamed.", endpoint, { status: head.status, lastEvent, firstEventAfter, longestPause });
         return true;
     }
 
-    private async passEvents(
-        endpoint: KnownEndpoint,
-        head: AnswerHead,
-        events: AsyncIterable<StreamEvent>,
-    ): Promise<void> {
-        let writing = false;
-        for await (const event of events) {
-            if (!writing) {
-                writing = true;
-                this.parts.loads.writes(endpoint.record.id, this.request.id);
-            }
-            this.checkOrder(event);
-            this.noteEvent();
-            if (!this.begun) {
-                this.begun = true;
-                this.exchange.begin(head);
-            }
-            this.lastEvent = event.id ?? this.lastEvent;
-            await this.exchange.write(event.bytes);
-        }
-        if (!this.begun) {
-            this.begun = true;
-            this.exchange.begin(head);
-        }
-    }
-
-    private noteEvent(): void {
-        const now = Math.round(this.parts.clock.now() - this.request.arrivedAt);
-        if (this.firstEventAfter === undefined) {
-            this.firstEventAfter = now;
-            this.parts.metrics.observe("first_event_milliseconds", now);
-            const error = now - this.predictedFirstEvent;
-            const side = error > 0 ? "late" : "early";
-            this.parts.metrics.observe("prediction_error_milliseconds", Math.abs(error), `side="${side}"`);
-        }
-        this.longestPause = Math.max(this.longestPause, now - (this.eventAt ?? now));
-        this.eventAt = now;
-    }
-
-    /**
-     * Events come in the order of their identifiers. A late answer to an earlier run, or one that a faulty endpoint
-     * repeats, would reach the caller as events twice or out of order.
-     */
-    private checkOrder({ id }: StreamEvent): void {
-        if (id !== undefined && this.lastEvent !== undefined && Number(id) <= Number(this.lastEvent)) {
-            throw new StreamBrokenError(`event ${id} came after event ${this.lastEvent}`);
-        }
-    }
-
     private choose(): Placement {
         const { placer, clock, dataCentre } = this.parts;
         const { service, route } = this.admission;
@@ -335,7 +286,7 @@
     /** Turns a request away that was not sent yet and can't end in time. */
     private checkWorth(placement: Placement, waited: Milliseconds): void {
         const { whole, firstEvent, readAlone, meanBacklog } = placement;
-        if (this.sends > 0 || this.begun) {
+        if (this.sends > 0 || this.relay.begun) {
             return;
         }
         const endsAt = this.parts.endsAt();
@@ -349,7 +300,7 @@
 
     private async send(placement: Placement): Promise<DispatchOutcome> {
         const { endpoint, helpers, shares, firstEvent } = placement;
-        this.predictedFirstEvent = this.parts.clock.now() - this.request.arrivedAt + firstEvent;
+        this.relay.predicted = this.parts.clock.now() - this.request.arrivedAt + firstEvent;
         this.sends++;
         this.tries++;
         this.parts.metrics.count(this.tries > 1 ? "repeats_total" : "first_sends_total");
@@ -368,7 +319,7 @@
             request: this.request,
             admission: this.admission,
             number: this.tries,
-            resumeAfter: this.lastEvent,
+            resumeAfter: this.relay.lastEvent,
             signal: this.ending.signal,
             silence: {
                 first: Math.max(patience, silenceCaution * firstEvent),
@@ -382,12 +333,14 @@
     private mayLeave({ record }: KnownEndpoint): boolean {
         const { service } = this.admission;
         // An endpoint that reads a long prompt is silent for a while, and no other would be quicker.
-        return this.parts.loads.load(record.id).readBacklog <= 0
+        const worthLeaving = this.parts.loads.load(record.id).readBacklog <= 0
+            && this.relay.canContinue
             && this.maySendAgain(this.admission.repeatable)
-            && this.parts.repeats.available(service.name)
             && this.candidates().some(other =>
                 other.record.id !== record.id && !this.broken.has(other.record.id) && !this.refused.has(other.record.id)
             );
+        this.repeatTaken = worthLeaving && this.parts.repeats.take(service.name);
+        return this.repeatTaken;
     }
 
     private passOver(detail: string): void {
@@ -404,7 +357,9 @@
     }
 
     private sendAgainOrFail(kind: FailureKind, detail: string): void {
-        if (this.maySendAgain() && this.parts.repeats.take(this.admission.service.name)) {
+        const taken = this.repeatTaken;
+        this.repeatTaken = false;
+        if (this.maySendAgain() && (taken || this.parts.repeats.take(this.admission.service.name))) {
             return;
         }
         throw this.failure(kind, detail, busyRetrySeconds);
@@ -427,9 +382,12 @@
 
     /** Ends a request for which no answer came: the last failure of an endpoint, a broken stream, or our own failure. */
     private finishWithout(error: unknown): void {
-        if (this.begun) {
+        if (this.relay.begun) {
             this.parts.metrics.count("streams_cut_total");
-            this.note("A stream was cut.", undefined, { lastEvent: this.lastEvent, reason: describeError(error) });
+            this.note("A stream was cut.", undefined, {
+                lastEvent: this.relay.lastEvent,
+                reason: describeError(error),
+            });
             this.exchange.cut();
             return;
         }
