Refusing dear reads, tried and dropped

Change tried: refuse at once the prompts with most reading time for their value, by the mean backlog.

--- a/src/core/forwarding/overload.ts
+++ b/src/core/forwarding/overload.ts
@@ -21,15 +21,6 @@
 /** Predictions of a whole answer are passed by this much in nine of ten; pauses grow with reads beside it. */
 const stopCaution = 2;
 
-/**
- * What reading is worth when endpoints have a second's reading before them on the mean, in value a second: about that of a
- * prompt of average length among the long ones. It grows with the square of the backlog, so that a short wait turns
- * nobody away, and the dearest prompts for their value go first.
- */
-const readingPriceAtOneSecond = 14;
-/** A backlog is gone after about twice its time, since more comes meanwhile. */
-const backlogDrainFactor = 2;
-
 /** Why a request is turned away, and when its caller should come back. */
 export interface Rejection {
     kind: FailureKind;
@@ -56,28 +47,6 @@
         }
         : undefined;
 
-/**
- * Under a load of long prompts the time to read is what is short, and the longest prompts take most of it for their value,
- * as their time grows with the square of their length: one of a million tokens takes as long as seventeen of the usual
- * long ones. Read all the same, it makes all of them late, and the short ones behind them. It is refused at once while the
- * backlog is long, and its caller comes back when the backlog is gone.
- */
-export const rejectDear = (
-    value: number,
-    readAlone: Milliseconds,
-    meanBacklog: Milliseconds,
-): Rejection | undefined => {
-    const price = readingPriceAtOneSecond * (meanBacklog / 1_000) ** 2;
-    if (value >= price * readAlone / 1_000) {
-        return undefined;
-    }
-    return {
-        kind: FailureKind.Overloaded,
-        detail: `reading it takes ${Math.round(readAlone)} ms where ${Math.round(meanBacklog)} ms wait already`,
-        retryAfterSeconds: Math.round(Math.max(busyRetrySeconds, backlogDrainFactor * meanBacklog / 1_000) * 100) / 100,
-    };
-};
-
 /**
  * Callers give a stream up when its first event takes too long. Work that would be given up before it begins is refused
  * at once; its caller comes back when what it would have waited for is done.
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -11,17 +11,10 @@
 import { describeError } from "../../utils/errors.js";
 import { Execution, FailureKind, RequestFailure } from "../failures.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
-import { type Placement, valueOf } from "../placement/placer.js";
+import type { Placement } from "../placement/placer.js";
 import type { Admission } from "./admission.js";
 import type { ForwardingParts } from "./forwarder.js";
-import {
-    busyRetrySeconds,
-    noEndpointRetrySeconds,
-    patienceOf,
-    rejectBeforeStop,
-    rejectDear,
-    rejectHopeless,
-} from "./overload.js";
+import { busyRetrySeconds, noEndpointRetrySeconds, patienceOf, rejectBeforeStop, rejectHopeless } from "./overload.js";
 import { type DispatchOutcome, Sender } from "./sender.js";
 import { StreamRelay } from "./streamRelay.js";
 
@@ -285,13 +278,12 @@
 
     /** Turns a request away that was not sent yet and can't end in time. */
     private checkWorth(placement: Placement, waited: Milliseconds): void {
-        const { whole, firstEvent, readAlone, meanBacklog } = placement;
+        const { whole, firstEvent } = placement;
         if (this.sends > 0 || this.relay.begun) {
             return;
         }
         const endsAt = this.parts.endsAt();
         const rejection = (endsAt === undefined ? undefined : rejectBeforeStop(whole, endsAt - this.parts.clock.now()))
-            ?? rejectDear(valueOf(this.request.size?.promptTokens ?? 0), readAlone, meanBacklog)
             ?? rejectHopeless(this.admission.route, firstEvent, waited, this.timeLeft);
         if (rejection) {
             throw this.failure(rejection.kind, rejection.detail, rejection.retryAfterSeconds);
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -63,10 +63,6 @@
     shares: readonly TeamShare[];
     /** Predicted time of reading at each of them. */
     readTime: Milliseconds;
-    /** Predicted time of reading all of it on one endpoint. */
-    readAlone: Milliseconds;
-    /** Mean time until the endpoints that it could go to have read what they have. */
-    meanBacklog: Milliseconds;
     /** Predicted time to the first event, or to the answer's start for plain services. */
     firstEvent: Milliseconds;
     /** Whether it would be late and should let later requests go first. */
@@ -112,8 +108,6 @@
                 helpers: [],
                 shares: [],
                 readTime: 0,
-                readAlone: 0,
-                meanBacklog: 0,
                 firstEvent: 0,
                 yields: false,
                 whole: need.targetLatency,
@@ -127,12 +121,12 @@
     ): Placement | undefined {
         const alone = readTime(engine, need.promptTokens);
         if (need.promptTokens + need.answerTokens > engine.memoryTokens) {
-            return this.placeTeam(need, engine, candidates, candidates);
+            return this.placeTeam(need, engine, candidates);
         }
         if (alone > longRead) {
             const idle = candidates.filter(({ record }) => this.isIdle(record.id));
             if (idle.length > 1) {
-                return this.placeTeam(need, engine, idle, candidates);
+                return this.placeTeam(need, engine, idle);
             }
         }
         const endpoint = cheapest(candidates, candidate => {
@@ -148,16 +142,7 @@
         const yields = slotWait(engine, load, need.answerTokens) > need.targetLeft;
         const behind = yields ? firstEvent + overtakenWait(engine, load, need.answerTokens) : firstEvent;
         const whole = behind + writing;
-        const reading = { readTime: alone, readAlone: alone, meanBacklog: this.meanBacklog(candidates) };
-        return { endpoint, helpers: [], shares: [], ...reading, firstEvent: behind, yields, whole };
-    }
-
-    private meanBacklog(candidates: readonly KnownEndpoint[]): Milliseconds {
-        let sum = 0;
-        for (const { record } of candidates) {
-            sum += this.loads.load(record.id).readBacklog;
-        }
-        return sum / candidates.length;
+        return { endpoint, helpers: [], shares: [], readTime: alone, firstEvent: behind, yields, whole };
     }
 
     private isIdle(endpoint: string): boolean {
@@ -168,7 +153,6 @@
     private placeTeam(
         need: PlacementNeed,
         engine: EngineProfile,
-        members: readonly KnownEndpoint[],
         candidates: readonly KnownEndpoint[],
     ): Placement | undefined {
         const value = valueOf(need.promptTokens);
@@ -176,7 +160,7 @@
             engine,
             promptTokens: need.promptTokens,
             answerTokens: need.answerTokens,
-            candidates: members.filter(({ record }) => !need.lacking.has(record.id)),
+            candidates: candidates.filter(({ record }) => !need.lacking.has(record.id)),
             loadOf: ({ record }) => this.loads.load(record.id),
             lossOf: firstEvent =>
                 queueCost * value * firstEvent / need.targetLatency
@@ -202,9 +186,7 @@
             contextTokens + (shares[0]?.tokens ?? need.promptTokens),
         );
         const whole = firstEvent + writing;
-        const reading = { readTime: part, readAlone: readTime(engine, need.promptTokens) };
-        const meanBacklog = this.meanBacklog(candidates);
-        return { endpoint: endpoint!, helpers, shares, ...reading, meanBacklog, firstEvent, yields: false, whole };
+        return { endpoint: endpoint!, helpers, shares, readTime: part, firstEvent, yields: false, whole };
     }
 
     /** What is lost by placing a read of `part` at a candidate. */
