Long prompts go to the team that loses least among endpoints that read nothing

Change: writers are weighed, not excluded; endpoints that read are excluded, as parts for others go before their own reads.

--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -307,3 +307,22 @@
     expect(newcomer.yields).toBe(false);
     expect(newcomer.firstEvent).toBeLessThan(300);
 });
+
+test("newcomers don't overtake long reads", () => {
+    // Parts for others go before an endpoint's own reads. With a part of each new long prompt everywhere, those that came
+    // first are read last, and all are given up.
+    const fixture = new Fixture(4);
+    for (const endpoint of ["e-0", "e-1"]) {
+        fixture.loads.place(fixture.work(endpoint, `reading-${endpoint}`, fixture.need(200_000), 2_500));
+    }
+    const { readers } = fixture.team(300_000);
+    expect(readers).not.toContain("e-0");
+    expect(readers).not.toContain("e-1");
+});
+
+test("long prompt where all endpoints read waits behind the shortest backlog alone", () => {
+    const fixture = new Fixture(2);
+    fixture.loads.place(fixture.work("e-0", "long", fixture.need(200_000), 2_500));
+    fixture.loads.place(fixture.work("e-1", "short", fixture.need(200_000), 900));
+    expect(fixture.team(200_000).readers).toEqual(["e-1"]);
+});
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -120,15 +120,9 @@
         candidates: readonly KnownEndpoint[],
     ): Placement | undefined {
         const alone = readTime(engine, need.promptTokens);
-        if (need.promptTokens + need.answerTokens > engine.memoryTokens) {
+        if (alone > longRead || need.promptTokens + need.answerTokens > engine.memoryTokens) {
             return this.placeTeam(need, engine, candidates);
         }
-        if (alone > longRead) {
-            const idle = candidates.filter(({ record }) => this.isIdle(record.id));
-            if (idle.length > 1) {
-                return this.placeTeam(need, engine, idle);
-            }
-        }
         const endpoint = cheapest(candidates, candidate => {
             const load = this.loads.load(candidate.record.id);
             return this.generationCost(need, engine, load, alone, candidate);
@@ -145,11 +139,6 @@
         return { endpoint, helpers: [], shares: [], readTime: alone, firstEvent: behind, yields, whole };
     }
 
-    private isIdle(endpoint: string): boolean {
-        const { readers, writers } = this.loads.load(endpoint);
-        return readers === 0 && writers === 0;
-    }
-
     private placeTeam(
         need: PlacementNeed,
         engine: EngineProfile,
