--- /dev/null
+++ b/__tests__/forwarding/settings.test.ts
@@ -0,0 +1,60 @@
+/** The settings as the platform fills them in. */
+import { readFileSync } from "node:fs";
+import path from "node:path";
+import { expect, test } from "vitest";
+import { forwardingSettingsSchema } from "../../src/adapters/forwarding/entrySettings.js";
+import { nonNegative } from "../../src/utils/numbers.js";
+import { parseSettings } from "../../src/utils/settings.js";
+
+const template = readFileSync(path.resolve(import.meta.dirname, "../../platform/entry.ini"), "utf8");
+
+const usual: Record<string, string> = {
+    node_name: "edge-north-1",
+    zone: "north",
+    ip: "10.1.0.40",
+    "listen.front": "10.1.0.40:8227",
+    "listen.ready": "10.1.0.40:8220",
+    "port_range.0": "7340",
+    "port_range.1": "7341",
+    "platform.address": "10.200.1.7:8223",
+    "bounds.retry_budget_ratio": "0.2",
+    "bounds.budget_window_s": "10",
+    "bounds.budget_extra": "100",
+    "bounds.cold_overage": "1.5",
+    "bounds.cold_extra": "5",
+    "bounds.grace_s": "8",
+};
+
+const filledIn = (changes: Record<string, string> = {}) => {
+    const fields = { ...usual, ...changes };
+    const text = template.replace(/\{\{([^}]+)\}\}/g, (whole, name: string) => fields[name] ?? whole);
+    return parseSettings("entry.ini", text, forwardingSettingsSchema);
+};
+
+test("usual settings", () => {
+    const settings = filledIn();
+    expect(settings.listen.metrics).toBe("10.1.0.40:7341");
+    expect(settings.repeats).toEqual({ share: 0.2, windowSeconds: 10, extra: 100 });
+});
+
+test("fractions with many digits", () => {
+    // The platform works a bound out by a division and writes all its digits. An entry that takes only nine of them ends at
+    // each start, on all instances, and nobody is served.
+    const settings = filledIn({ "bounds.budget_extra": "50.806451612903224", "bounds.cold_overage": "1e-05" });
+    expect(settings.repeats.extra).toBeCloseTo(50.806);
+    expect(settings.cold.factor).toBe(0.00001);
+});
+
+test("bounds that the platform doesn't set", () => {
+    const settings = filledIn({ "bounds.budget_extra": "", "bounds.cold_overage": "", "bounds.grace_s": "" });
+    expect(settings.repeats.extra).toBe(50);
+    expect(settings.cold.factor).toBe(1);
+    expect(settings.stop.graceSeconds).toBe(8);
+});
+
+for (const value of ["-1", "ten", "1.", ".5", "1e999", "0x10", "NaN"]) {
+    test(`no number: "${value}"`, () => {
+        expect(nonNegative(value)).toBeUndefined();
+        expect(() => filledIn({ "bounds.budget_extra": value })).toThrow(/\[repeats\].*extra/);
+    });
+}
--- a/src/adapters/forwarding/entrySettings.ts
+++ b/src/adapters/forwarding/entrySettings.ts
@@ -2,12 +2,19 @@
 import { z } from "zod";
 import { PlacementPolicy } from "../../types/routing.js";
 import { LogLevel } from "../../utils/log.js";
+import { nonNegative } from "../../utils/numbers.js";
 import { setting } from "../../utils/settings.js";
 
-const decimal = () =>
+/** A number of at least 0; `usual` where the platform has none and leaves the value empty. */
+const decimal = (usual: number) =>
     z.string("expected a number of at least 0")
-        .regex(/^\d{1,9}(\.\d{1,9})?$/, "expected a number of at least 0")
-        .transform(Number);
+        .refine(text => text === "" || nonNegative(text) !== undefined, "expected a number of at least 0")
+        .transform(text => text === "" ? usual : Number(text));
+
+/** Used where a platform bounds nothing: what the smallest site of today allows, and for cold endpoints no excess. */
+const usualRepeats = { share: 0.2, windowSeconds: 10, extra: 50 };
+const usualCold = { factor: 1, extra: 0 };
+const usualGraceSeconds = 8;
 
 /** Schema of the settings file. */
 export const forwardingSettingsSchema = z.strictObject({
@@ -23,23 +30,23 @@
     store: z.strictObject({ address: setting.address() }),
     repeats: z.strictObject({
         /** Of the requests in the window. */
-        share: decimal(),
-        windowSeconds: decimal(),
+        share: decimal(usualRepeats.share),
+        windowSeconds: decimal(usualRepeats.windowSeconds),
         /** Beside the share, in a window. */
-        extra: decimal(),
+        extra: decimal(usualRepeats.extra),
     }),
     cold: z.strictObject({
         /** Of the rate that a service publishes. */
-        factor: decimal(),
+        factor: decimal(usualCold.factor),
         /** Beside it, in a second. */
-        extra: decimal(),
+        extra: decimal(usualCold.extra),
     }),
     placement: z.strictObject({
         policy: setting.oneOf(PlacementPolicy).default(PlacementPolicy.Predicted),
         /** Whether entries tell one another what they place. */
         shared: setting.flag().default(true),
     }).default({ policy: PlacementPolicy.Predicted, shared: true }),
-    stop: z.strictObject({ graceSeconds: decimal() }),
+    stop: z.strictObject({ graceSeconds: decimal(usualGraceSeconds) }),
     log: z.strictObject({ level: setting.oneOf(LogLevel).default(LogLevel.Info) }).default({ level: LogLevel.Info }),
 });
 
