--- a/__tests__/forwarding/membership.test.ts
+++ b/__tests__/forwarding/membership.test.ts
@@ -1,6 +1,6 @@
 /** Who counts as an entry, for budgets that hold over all of them. */
 import { expect, test } from "vitest";
-import { fanOut, type GroupMember, groupOf } from "../../src/core/membership/fanOut.js";
+import { formGroups, type GroupMember, relaysOf } from "../../src/core/membership/fanOut.js";
 import { Membership } from "../../src/core/membership/membership.js";
 import { Peers } from "../../src/core/membership/peers.js";
 import { LoadView } from "../../src/core/placement/loadView.js";
@@ -106,11 +106,13 @@
         const members = membersOf(count);
         const [self, ...others] = members;
         const random = seededRandom(1);
-        const { direct, relays } = fanOut(self!, others, random);
+        const groups = formGroups(self!, others);
+        const direct = groups.own;
+        const relays = relaysOf(groups, random);
         const reached = [...direct, ...relays];
         for (const relay of relays) {
             const member = members.find(({ address }) => address === relay)!;
-            const passed = groupOf(member, members.filter(other => other !== member));
+            const passed = formGroups(member, members.filter(other => other !== member)).own;
             expect(passed.length).toBeLessThanOrEqual(Math.max(12, Math.sqrt(count)));
             reached.push(...passed);
         }
--- a/src/core/membership/fanOut.ts
+++ b/src/core/membership/fanOut.ts
@@ -19,42 +19,46 @@
     dataCentre: string;
 }
 
-/** Whom to send a message. */
-export interface FanOut {
-    /** Told for themselves. */
-    direct: string[];
-    /** Told for themselves and for the others of their group. */
-    relays: string[];
+/** The groups as one entry sees them, by address. */
+export interface Groups {
+    /** Told directly: the others of this entry's own group, or all others where they are few. */
+    own: readonly string[];
+    /** Of each other group one is told, and tells the others of it. */
+    others: readonly (readonly string[])[];
 }
 
-/** How this entry reaches all of `others`. */
-export const fanOut = (self: GroupMember, others: readonly GroupMember[], random: Random): FanOut => {
+/** The groups that this entry forms with `others`. */
+export const formGroups = (self: GroupMember, others: readonly GroupMember[]): Groups => {
     if (others.length <= directAtMost) {
-        return { direct: others.map(({ address }) => address), relays: [] };
+        return { own: others.map(({ address }) => address), others: [] };
     }
-    const direct: string[] = [];
-    const relays: string[] = [];
+    let own: string[] = [];
+    const rest: string[][] = [];
     for (const group of groupsOf([self, ...others])) {
-        if (group.some(({ id }) => id === self.id)) {
-            direct.push(...group.filter(({ id }) => id !== self.id).map(({ address }) => address));
-            continue;
+        if (group.includes(self)) {
+            own = group.filter(member => member !== self).map(({ address }) => address);
+        }
+        else {
+            rest.push(group.map(({ address }) => address));
         }
-        relays.push(group[Math.floor(random.next() * group.length)]!.address);
     }
-    return { direct, relays };
+    return { own, others: rest };
 };
 
-/** The others of this entry's own group, whom it tells what it was told as a relay. */
-export const groupOf = (self: GroupMember, others: readonly GroupMember[]): string[] => {
-    const own = groupsOf([self, ...others]).find(group => group.some(({ id }) => id === self.id)) ?? [];
-    return own.filter(({ id }) => id !== self.id).map(({ address }) => address);
-};
+/** One entry of each other group. */
+export const relaysOf = ({ others }: Groups, random: Random): string[] =>
+    others.map(group => group[Math.floor(random.next() * group.length)]!);
 
 const groupsOf = (members: readonly GroupMember[]): GroupMember[][] => {
     const byDataCentre = new Map<string, GroupMember[]>();
     for (const member of members) {
-        const present = byDataCentre.get(member.dataCentre) ?? [];
-        byDataCentre.set(member.dataCentre, [...present, member]);
+        const present = byDataCentre.get(member.dataCentre);
+        if (present) {
+            present.push(member);
+        }
+        else {
+            byDataCentre.set(member.dataCentre, [member]);
+        }
     }
     const groups: GroupMember[][] = [];
     for (const present of byDataCentre.values()) {
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -1,11 +1,12 @@
 /** The other entries, as far as this one hears of them, and what it tells them. */
 import type { KnownRevisions, PeerIdentity, PeerMessage, PeerNews, PeerNewsPort } from "../../ports/peerNewsPort.js";
+import { StateKind } from "../../ports/statePort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
 import type { Random } from "../../utils/random.js";
 import type { PlacedWork } from "../placement/loadView.js";
 import type { LoadNews, SharedLoads } from "../placement/sharedLoads.js";
-import { fanOut, type GroupMember, groupOf } from "./fanOut.js";
+import { formGroups, type Groups, relaysOf } from "./fanOut.js";
 
 /** How often an entry says that it lives. A lost message about an end is put right by the next one. */
 export const aliveInterval: Milliseconds = 500;
@@ -15,6 +16,8 @@
 const forgottenAfter: Milliseconds = 20_000;
 /** An entry that is listed and wasn't heard for so long is gone: no cut or restart that is planned for lasts as long. */
 const lostAfter: Milliseconds = 120_000;
+/** Forming groups of sixty entries for each message would cost a tenth of a thin instance's processor. */
+const audienceKept: Milliseconds = 250;
 /** News that isn't urgent waits so long for more, and goes in one datagram. */
 const gatherTime: Milliseconds = 10;
 /** Work placed this shortly before may be missing in what its entry says is in progress. */
@@ -37,6 +40,13 @@
     listed: boolean;
 }
 
+/** Whom this entry tells. */
+interface Audience {
+    formedAt: Milliseconds;
+    groups: Groups;
+    silent: readonly string[];
+}
+
 /** What peers need. */
 export interface PeersParts {
     clock: Clock;
@@ -59,6 +69,7 @@
     private readonly peers = new Map<string, Peer>();
     /** Called when an entry says what it knows of stored objects, and on a timer. */
     onState: () => void = () => {};
+    private audience: Audience | undefined;
     private gathered: PeerNews[] = [];
     private gathering = false;
 
@@ -109,6 +120,7 @@
     /** Takes the addresses of entries that the store lists. */
     listed(identities: readonly Pick<PeerIdentity, "id" | "address">[]): void {
         const now = this.parts.clock.now();
+        this.audience = undefined;
         const listed = new Set(identities.map(({ id }) => id));
         for (const [id, peer] of this.peers) {
             peer.listed = listed.has(id);
@@ -141,8 +153,7 @@
             return;
         }
         if (passOn) {
-            const group = groupOf(this.ownMember(), this.members());
-            this.parts.channel.send(group, { from, news, passOn: false });
+            this.parts.channel.send(this.currentAudience().groups.own, { from, news, passOn: false });
         }
         this.note(from);
         for (const piece of news) {
@@ -185,6 +196,7 @@
             knownAt: now,
             firstKnownAt: now,
         });
+        this.audience = undefined;
         this.parts.log.info("An entry is there.", { entry: from.id, incarnation: from.incarnation });
     }
 
@@ -214,9 +226,13 @@
 
     private noteKnown(id: string, known: KnownRevisions, dataCentre?: string): void {
         const peer = this.peers.get(id);
-        if (peer) {
-            peer.known = known;
-            peer.dataCentre = dataCentre ?? peer.dataCentre;
+        if (!peer) {
+            return;
+        }
+        const news = Object.values(StateKind).some(kind => (known[kind] ?? 0) > (peer.known[kind] ?? 0));
+        peer.known = known;
+        peer.dataCentre = dataCentre ?? peer.dataCentre;
+        if (news) {
             this.onState();
         }
     }
@@ -248,19 +264,12 @@
         this.gathering = false;
         const all = news ? [...this.gathered, news] : this.gathered;
         this.gathered = [];
-        const now = this.parts.clock.now();
         if (all.length === 0) {
             return;
         }
-        const { direct, relays } = fanOut(this.ownMember(), this.members(), this.parts.random);
-        for (const { identity, heardAt, knownAt } of this.peers.values()) {
-            // An entry that isn't heard of may hear; it is in no group.
-            if (now - heardAt >= silentAfter && now - knownAt < forgottenAfter) {
-                direct.push(identity.address);
-            }
-        }
-        this.send(direct, all, false);
-        this.send(relays, all, true);
+        const { groups, silent } = this.currentAudience();
+        this.send([...groups.own, ...silent], all, false);
+        this.send(relaysOf(groups, this.parts.random), all, true);
     }
 
     private send(addresses: readonly string[], news: PeerNews[], passOn: boolean): void {
@@ -269,13 +278,27 @@
         }
     }
 
-    private ownMember(): GroupMember {
-        const { self, dataCentre } = this.parts;
-        return { id: self.id, address: self.address, dataCentre };
+    /** Whom this entry tells. Formed anew a few times a second, not for each message. */
+    private currentAudience(): Audience {
+        const now = this.parts.clock.now();
+        if (!this.audience || now - this.audience.formedAt >= audienceKept) {
+            const { self, dataCentre } = this.parts;
+            const others = this.others().map(({ identity, dataCentre: place }) => ({ ...identity, dataCentre: place }));
+            const groups = formGroups({ ...self, dataCentre }, others);
+            this.audience = { formedAt: now, groups, silent: this.silentAddresses(now) };
+        }
+        return this.audience;
     }
 
-    private members(): GroupMember[] {
-        return this.others().map(({ identity: { id, address }, dataCentre }) => ({ id, address, dataCentre }));
+    /** Entries that aren't heard of, and so in no group; they may hear all the same. */
+    private silentAddresses(now: Milliseconds): string[] {
+        const addresses: string[] = [];
+        for (const { identity, heardAt, knownAt } of this.peers.values()) {
+            if (now - heardAt >= silentAfter && now - knownAt < forgottenAfter) {
+                addresses.push(identity.address);
+            }
+        }
+        return addresses;
     }
 
     private forget(): void {
