--- a/__tests__/forwarding/peers.test.ts
+++ b/__tests__/forwarding/peers.test.ts
@@ -1,6 +1,7 @@
 /** What entries tell one another, over real datagrams. */
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { Refusal } from "../../platform/standins/storeServer.js";
+import { systemClock } from "../../src/utils/clock.js";
 import { call, generation, Site, until } from "./support/site.js";
 
 let site: Site;
@@ -81,3 +82,37 @@
     const again = await site.start("entry-2", false, { refusal: Refusal.Silent, peers: first.peers });
     await until(() => again.entry.ready);
 });
+
+test("restarted entry learns the work in progress", async () => {
+    // Entries are restarted in turn. A new process knows nothing of what the others have placed, takes all endpoints for
+    // idle, and sends short prompts behind long reads.
+    const first = await site.start("entry-1");
+    const long = call(first.callers, "/replies/a", { headers: generation(40_000, 1_000) });
+    await until(() => [...site.replicas.keys()].some(id => first.entry.loadOf(id).requests > 0));
+    const taken = [...site.replicas.keys()].find(id => first.entry.loadOf(id).requests > 0)!;
+    const second = await site.start("entry-2");
+    await until(() => second.entry.loadOf(taken).requests === 1);
+    await long;
+});
+
+test("work of a stopping entry still counts", async () => {
+    // A stopping entry goes on serving what it has for seconds. If it were forgotten at once, its long reads would seem to be
+    // over, and its next message would make it a new entry.
+    const first = await site.start("entry-1");
+    const second = await site.start("entry-2");
+    await until(() => knows("entry-1", "entry-2") && knows("entry-2", "entry-1"));
+    const long = call(first.callers, "/replies/a", { headers: generation(40_000, 1_500) });
+    await until(() => [...site.replicas.keys()].some(id => second.entry.loadOf(id).requests > 0));
+    const taken = [...site.replicas.keys()].find(id => second.entry.loadOf(id).requests > 0)!;
+    void first.entry.stop();
+    const stopped = () => site.lines.some(({ entry, message }) => entry === "entry-2" && /is stopping/.test(message));
+    await until(stopped);
+    // Long enough for its next sign of life.
+    await systemClock.sleep(700);
+    expect(second.entry.loadOf(taken).requests).toBe(1);
+    const met = site.lines.filter(line =>
+        line.entry === "entry-2" && line.message === "peers: An entry is there." && line.fields.entry === "entry-1"
+    );
+    expect(met).toHaveLength(1);
+    await long;
+});
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -3,7 +3,6 @@
 import { RepeatBudget } from "../../core/budgets/repeatBudget.js";
 import { ActiveConfiguration } from "../../core/configuration/activeConfiguration.js";
 import { StateFollower, type StateSink } from "../../core/configuration/stateFollower.js";
-import type { StateNews } from "../../core/configuration/stateMirror.js";
 import { Forwarder } from "../../core/forwarding/forwarder.js";
 import { EndpointDirectory } from "../../core/membership/endpointDirectory.js";
 import { Membership } from "../../core/membership/membership.js";
@@ -28,7 +27,7 @@
 import type { ForwardingSettings } from "./entrySettings.js";
 import { serveMetrics } from "./metricsPort.js";
 import { PeerSocket } from "./peerSocket.js";
-import { PeerStateClient, servePeerState } from "./peerStateServer.js";
+import { type PeerKnowledge, PeerStateClient, servePeerState } from "./peerStateServer.js";
 import { serveReadiness } from "./readinessPort.js";
 import type { ForwardingWire } from "./wireNames.js";
 
@@ -48,6 +47,10 @@
 const meetIntervalPerEntry: Milliseconds = 2_000;
 const meetRetry: Milliseconds = 1_000;
 
+/** Entries that a starting one asks for the work in progress, and how long it waits for each; some may be gone. */
+const loadsAskedAtMost = 3;
+const loadsAnswerAtMost: Milliseconds = 300;
+
 /** What an entry needs of the world. */
 export interface ForwardingEntryParts {
     clock: Clock;
@@ -82,6 +85,7 @@
     /** Answers other entries' questions. */
     private questions: Listener | undefined;
     private readonly followers: Followers;
+    private readonly asking: PeerStateClient;
     /** When a planned stop cuts what is left. */
     private endsAt: Milliseconds | undefined;
 
@@ -134,8 +138,8 @@
             dataCentre: settings.instance.dataCentre,
             endsAt: () => this.endsAt,
         });
-        const asking = new PeerStateClient(clock, log("peers"));
-        const peerState = new PeerState(this.peers, asking, { id, dataCentre }, random);
+        this.asking = new PeerStateClient(clock, log("peers"));
+        const peerState = new PeerState(this.peers, this.asking, { id, dataCentre }, random);
         const follow = { store: parts.store, peers: peerState, clock, random, log: log("store") };
         const { Configuration, Endpoints, DataCentresOut } = StateKind;
         this.followers = {
@@ -170,7 +174,7 @@
         this.readiness = await serveReadiness(listen.readiness, () => this.ready);
         this.metricsListener = await serveMetrics(listen.metrics, () => this.metrics.text(this.gauges()));
         this.self.address = await this.peerSocket.listen(listen.peers);
-        this.questions = await servePeerState(this.self.address, this.stateLookup, this.parts.log("peers"));
+        this.questions = await servePeerState(this.self.address, this.knowledge, this.parts.log("peers"));
         this.run("the heartbeat", this.peers.sayAlive(this.ending.signal));
         this.run("the list of entries", this.meetPeers());
         for (const follower of Object.values(this.followers)) {
@@ -235,8 +239,29 @@
         ]);
     }
 
-    private readonly stateLookup = (kind: StateKind, revision: number): StateNews<unknown> | undefined =>
-        kind === StateKind.Entries ? undefined : this.followers[kind].mirror.since(revision);
+    private readonly knowledge: PeerKnowledge = {
+        stateSince: (kind, revision) =>
+            kind === StateKind.Entries ? undefined : this.followers[kind].mirror.since(revision),
+        loadsInProgress: () => this.loads.inProgress(),
+    };
+
+    /**
+     * Asks an entry that was there before what is in progress. A process that has just started believes all endpoints idle;
+     * while entries are restarted in turn each would place short prompts where others' long ones are read.
+     */
+    private async learnLoads(addresses: readonly string[]): Promise<void> {
+        const { random } = this.parts;
+        const asked = addresses.map(address => ({ address, order: random.next() }))
+            .sort((left, right) => left.order - right.order).slice(0, loadsAskedAtMost);
+        for (const { address } of asked) {
+            const works = await this.asking.askLoads(address, loadsAnswerAtMost);
+            if (works && works.length > 0) {
+                this.loads.learn(works);
+                this.log.info("The work in progress was learned.", { from: address, works: works.length });
+                return;
+            }
+        }
+    }
 
     private gauges(): Record<string, number> {
         const { user, system } = process.cpuUsage();
@@ -284,6 +309,10 @@
                 const { items } = await store.list(StateKind.Entries, signal);
                 announced &&= items.some(({ name }) => name === this.self.id);
                 this.peers.listed(items.flatMap(({ name, value }) => value ? [{ id: name, ...value }] : []));
+                if (!this.membership.met && this.settings.placement.shared) {
+                    const others = items.filter(({ name }) => name !== this.self.id);
+                    this.run("learning loads", this.learnLoads(others.flatMap(({ value }) => value?.address ?? [])));
+                }
                 this.membership.met = true;
                 await this.removeLost();
                 pause = Math.max(meetInterval, this.peers.living * meetIntervalPerEntry);
--- a/src/adapters/forwarding/peerStateServer.ts
+++ b/src/adapters/forwarding/peerStateServer.ts
@@ -2,6 +2,7 @@
 import { JSONRPCClient, type JSONRPCRequest, type JSONRPCResponse, JSONRPCServer } from "json-rpc-2.0";
 import { z } from "zod";
 import type { StateNews } from "../../core/configuration/stateMirror.js";
+import { type WorkInProgress, WorkPart } from "../../core/placement/loadView.js";
 import type { PeerStatePort } from "../../ports/peerStatePort.js";
 import { StateKind, type StateValues } from "../../ports/statePort.js";
 import { within } from "../../utils/bounds.js";
@@ -12,6 +13,7 @@
 import type { PartLog } from "../../utils/log.js";
 
 const stateMethod = "stateSince";
+const loadsMethod = "loadsInProgress";
 /** Changes with each incompatible change of what is exchanged; entries of another version are not understood. */
 const formatVersion = 1;
 const questionBytesAtMost = 4_096;
@@ -28,16 +30,38 @@
     z.object({ type: z.literal("Snapshot"), revision: z.number(), wasAway: z.boolean(), items: z.array(item) }),
 ]);
 
-/** Looks up what this entry knows of a kind after a revision. */
-export type StateLookup = (kind: StateKind, revision: number) => StateNews<unknown> | undefined;
+const loadsSchema = z.object({
+    format: z.literal(formatVersion),
+    works: z.array(z.object({
+        id: z.string(),
+        owner: z.string(),
+        endpoint: z.string(),
+        contextTokens: z.number(),
+        readTime: z.number(),
+        targetGap: z.number().optional(),
+        value: z.number(),
+        yielding: z.boolean(),
+        part: z.enum(WorkPart),
+        endsIn: z.number(),
+        writing: z.boolean(),
+    })),
+});
+
+/** What this entry knows that others ask for. */
+export interface PeerKnowledge {
+    /** What is known of a kind after a revision. */
+    stateSince(kind: StateKind, revision: number): StateNews<unknown> | undefined;
+    loadsInProgress(): WorkInProgress[];
+}
 
 /** Answers other entries' questions at `address`. */
-export const servePeerState = (address: string, lookup: StateLookup, log: PartLog): Promise<Listener> => {
+export const servePeerState = (address: string, knowledge: PeerKnowledge, log: PartLog): Promise<Listener> => {
     const server = new JSONRPCServer();
     server.addMethod(stateMethod, parameters => {
         const { kind, revision } = questionSchema.parse(parameters);
-        return lookup(kind, revision) ?? {};
+        return knowledge.stateSince(kind, revision) ?? {};
     });
+    server.addMethod(loadsMethod, () => ({ format: formatVersion, works: knowledge.loadsInProgress() }));
     return listen(address, async (request, response) => {
         try {
             const text = (await readBody(request, questionBytesAtMost)).toString("utf8");
@@ -61,9 +85,8 @@
         limit: Milliseconds,
     ): Promise<StateNews<StateValues[Kind]> | undefined> {
         try {
-            const answer = answerSchema.safeParse(
-                await this.call(address, { format: formatVersion, kind, revision }, limit),
-            );
+            const question = { format: formatVersion, kind, revision };
+            const answer = answerSchema.safeParse(await this.call(address, stateMethod, question, limit));
             // The values were decoded by an entry of the same format.
             return answer.success ? answer.data as StateNews<StateValues[Kind]> : undefined;
         }
@@ -73,12 +96,30 @@
         }
     }
 
-    private async call(address: string, question: object, limit: Milliseconds): Promise<unknown> {
+    async askLoads(address: string, limit: Milliseconds): Promise<WorkInProgress[] | undefined> {
+        try {
+            const answer = loadsSchema.safeParse(await this.call(address, loadsMethod, {}, limit));
+            return answer.success
+                ? answer.data.works.map(({ targetGap, ...work }) => ({ ...work, targetGap }))
+                : undefined;
+        }
+        catch (error) {
+            this.log.info("An entry doesn't answer.", { address, error: describeError(error) });
+            return undefined;
+        }
+    }
+
+    private async call(
+        address: string,
+        method: string,
+        question: object,
+        limit: Milliseconds,
+    ): Promise<unknown> {
         const client = new JSONRPCClient(async (request: JSONRPCRequest) => {
             const send = (signal: AbortSignal) => exchangeJson({ address, method: "POST", path: "/", signal }, request);
             const { value } = await within(this.clock, limit, "another entry's answer", send);
             client.receive(value as JSONRPCResponse);
         });
-        return await client.request(stateMethod, question);
+        return await client.request(method, question);
     }
 }
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -38,6 +38,8 @@
     firstKnownAt: Milliseconds;
     /** Whether it was on the list that was read last. */
     listed: boolean;
+    /** Whether it has said that it stops. */
+    stopping: boolean;
 }
 
 /** Whom this entry tells. */
@@ -84,7 +86,7 @@
         const now = this.parts.clock.now();
         let count = 1;
         for (const peer of this.peers.values()) {
-            count += now - peer.heardAt < silentAfter ? 1 : 0;
+            count += isLiving(peer, now) ? 1 : 0;
         }
         return count;
     }
@@ -92,7 +94,7 @@
     /** The other entries that were heard of late. */
     others(): LivingPeer[] {
         const now = this.parts.clock.now();
-        return [...this.peers.values()].filter(({ heardAt }) => now - heardAt < silentAfter);
+        return [...this.peers.values()].filter(peer => isLiving(peer, now));
     }
 
     /** Identifiers of all other entries that are known, heard of late or not. */
@@ -140,6 +142,7 @@
                 dataCentre: "",
                 known: {},
                 listed: true,
+                stopping: false,
                 heardAt: -Infinity,
                 knownAt: now,
                 firstKnownAt: now,
@@ -192,6 +195,7 @@
             dataCentre: "",
             known: {},
             listed: known?.listed ?? false,
+            stopping: false,
             heardAt: now,
             knownAt: now,
             firstKnownAt: now,
@@ -218,12 +222,24 @@
                 this.noteKnown(from.id, news.known);
                 return;
             case "Stopping":
-                this.peers.delete(from.id);
-                this.parts.log.info("An entry is stopping.", { entry: from.id });
+                this.noteStopping(from.id);
                 return;
         }
     }
 
+    /**
+     * A stopping entry still serves what it has and what a lagging balancer sends. It is told and heard as before, and what
+     * it has placed still counts; but it watches nothing for others, and is in no group.
+     */
+    private noteStopping(id: string): void {
+        const peer = this.peers.get(id);
+        if (peer && !peer.stopping) {
+            peer.stopping = true;
+            this.audience = undefined;
+            this.parts.log.info("An entry is stopping.", { entry: id });
+        }
+    }
+
     private noteKnown(id: string, known: KnownRevisions, dataCentre?: string): void {
         const peer = this.peers.get(id);
         if (!peer) {
@@ -293,9 +309,9 @@
     /** Entries that aren't heard of, and so in no group; they may hear all the same. */
     private silentAddresses(now: Milliseconds): string[] {
         const addresses: string[] = [];
-        for (const { identity, heardAt, knownAt } of this.peers.values()) {
-            if (now - heardAt >= silentAfter && now - knownAt < forgottenAfter) {
-                addresses.push(identity.address);
+        for (const peer of this.peers.values()) {
+            if (!isLiving(peer, now) && now - peer.knownAt < forgottenAfter) {
+                addresses.push(peer.identity.address);
             }
         }
         return addresses;
@@ -312,6 +328,8 @@
     }
 }
 
+const isLiving = ({ heardAt, stopping }: Peer, now: Milliseconds): boolean => !stopping && now - heardAt < silentAfter;
+
 const travelling = (works: readonly PlacedWork[], now: Milliseconds): PeerNews => {
     const { id, readTime, targetGap, value, yielding, endsBy } = works[0]!;
     return {
--- a/src/core/placement/loadView.ts
+++ b/src/core/placement/loadView.ts
@@ -45,6 +45,9 @@
     readUntil: Milliseconds;
 }
 
+/** Work in progress as one entry tells it to another that has just started: times as what is left of them. */
+export type WorkInProgress = Omit<PlacedWork, "endsBy"> & { endsIn: Milliseconds; writing: boolean; };
+
 /** What is in progress at one endpoint. */
 export interface EndpointLoad {
     /** Requests of all phases, without parts for other endpoints. */
@@ -137,6 +140,31 @@
         }
     }
 
+    /** All work in progress, for an entry that has just started. */
+    inProgress(): WorkInProgress[] {
+        const now = this.clock.now();
+        const all: WorkInProgress[] = [];
+        for (const works of this.byEndpoint.values()) {
+            for (const { placedAt, readUntil, endsBy, ...work } of works.values()) {
+                if (now < endsBy && placedAt <= now) {
+                    all.push({ ...work, readTime: Math.max(0, readUntil - now), endsIn: endsBy - now });
+                }
+            }
+        }
+        return all;
+    }
+
+    /** Takes what another entry knows to be in progress; what is known here already stays as it is. */
+    learn(works: readonly WorkInProgress[]): void {
+        const now = this.clock.now();
+        for (const { endsIn, writing, ...work } of works) {
+            this.place({ ...work, endsBy: now + endsIn });
+            if (writing) {
+                this.writes(work.endpoint, work.id);
+            }
+        }
+    }
+
     /** Drops what `owner` placed before `before` and doesn't name in `inProgress`. */
     keepOnly(owner: string, inProgress: ReadonlySet<string>, before: Milliseconds): void {
         for (const works of this.byEndpoint.values()) {
--- a/src/core/placement/sharedLoads.ts
+++ b/src/core/placement/sharedLoads.ts
@@ -1,6 +1,6 @@
 /** The load view together with telling the other entries what this one places. */
 import type { Milliseconds } from "../../utils/clock.js";
-import type { EndpointLoad, LoadView, PlacedWork } from "./loadView.js";
+import type { EndpointLoad, LoadView, PlacedWork, WorkInProgress } from "./loadView.js";
 
 /** Something that happened to placed work. */
 export type LoadNews =
@@ -57,6 +57,16 @@
         this.view.keepOnly(owner, inProgress, before);
     }
 
+    /** All work in progress, for an entry that has just started. */
+    inProgress(): WorkInProgress[] {
+        return this.view.inProgress();
+    }
+
+    /** Takes what another entry knows to be in progress. */
+    learn(works: readonly WorkInProgress[]): void {
+        this.view.learn(works);
+    }
+
     load(endpoint: string): EndpointLoad {
         return this.view.load(endpoint);
     }
--- a/src/ports/peerStatePort.ts
+++ b/src/ports/peerStatePort.ts
@@ -1,5 +1,6 @@
 /** What the core needs to ask another entry for stored objects. */
 import type { StateNews } from "../core/configuration/stateMirror.js";
+import type { WorkInProgress } from "../core/placement/loadView.js";
 import type { Milliseconds } from "../utils/clock.js";
 import type { StateKind, StateValues } from "./statePort.js";
 
@@ -12,4 +13,6 @@
         revision: number,
         limit: Milliseconds,
     ): Promise<StateNews<StateValues[Kind]> | undefined>;
+    /** The work in progress that the entry at `address` knows of. Undefined when it doesn't answer in time. */
+    askLoads(address: string, limit: Milliseconds): Promise<WorkInProgress[] | undefined>;
 }
