Early in a stop the longest answer is taken as predicted; long prompts wait for a slot

And a long prompt found no member for its team while all slots were taken, and was refused where a short one waits. Change: for the three seconds in which the balancer still sends, the prediction counts once; later twice as before.

--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -326,3 +326,15 @@
     fixture.loads.place(fixture.work("e-1", "short", fixture.need(200_000), 900));
     expect(fixture.team(200_000).readers).toEqual(["e-1"]);
 });
+
+test("long prompt waits where all slots are taken", () => {
+    // Short prompts fill every slot for a moment. A long one waits for a slot, as short ones do, and isn't refused.
+    const fixture = new Fixture(2);
+    for (let index = 0; index < 2 * engine.slots; index++) {
+        const endpoint = `e-${index % 2}`;
+        fixture.loads.place(fixture.work(endpoint, `w-${index}`, fixture.need(5_000), 20));
+        fixture.loads.writes(endpoint, `w-${index}`);
+    }
+    fixture.time += 500;
+    expect(fixture.team(200_000).readers).toHaveLength(1);
+});
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -3,7 +3,7 @@
 import { RepeatBudget } from "../../core/budgets/repeatBudget.js";
 import { ActiveConfiguration } from "../../core/configuration/activeConfiguration.js";
 import { StateFollower, type StateSink } from "../../core/configuration/stateFollower.js";
-import { Forwarder } from "../../core/forwarding/forwarder.js";
+import { Forwarder, type PlannedStop } from "../../core/forwarding/forwarder.js";
 import { EndpointDirectory } from "../../core/membership/endpointDirectory.js";
 import { Membership } from "../../core/membership/membership.js";
 import { Peers } from "../../core/membership/peers.js";
@@ -86,8 +86,7 @@
     private questions: Listener | undefined;
     private readonly followers: Followers;
     private readonly asking: PeerStateClient;
-    /** When a planned stop cuts what is left. */
-    private endsAt: Milliseconds | undefined;
+    private plannedStop: PlannedStop | undefined;
 
     constructor(private settings: ForwardingSettings, private readonly parts: ForwardingEntryParts) {
         const { clock, random, wire, log } = parts;
@@ -136,7 +135,7 @@
             metrics: this.metrics,
             entry: settings.instance.id,
             dataCentre: settings.instance.dataCentre,
-            endsAt: () => this.endsAt,
+            stop: () => this.plannedStop,
         });
         this.asking = new PeerStateClient(clock, log("peers"));
         const peerState = new PeerState(this.peers, this.asking, { id, dataCentre }, random);
@@ -153,14 +152,14 @@
             log: log("callers"),
             serve: exchange => this.forwarder.serve(exchange),
             routes: () => this.configuration.routes,
-            stopping: () => this.endsAt !== undefined,
+            stopping: () => this.plannedStop !== undefined,
         });
         this.configuration.onChange(routes => this.callers.limit(routes));
     }
 
     /** Whether this entry should get callers. */
     get ready(): boolean {
-        return this.forwarder.ready && this.endsAt === undefined;
+        return this.forwarder.ready && this.plannedStop === undefined;
     }
 
     /** What this entry believes to be in progress at an endpoint. */
@@ -208,7 +207,7 @@
         const { clock } = this.parts;
         const begun = clock.now();
         const endsAt = begun + this.settings.stop.graceSeconds * 1_000 - stopMargin;
-        this.endsAt = endsAt;
+        this.plannedStop = { begunAt: begun, endsAt };
         this.peers.sayStopping();
         this.run("leaving the list of entries", this.parts.store.withdraw(this.self.id, this.ending.signal));
         this.log.info("The entry is stopping.", { active: this.forwarder.active });
@@ -302,7 +301,7 @@
         while (!signal.aborted) {
             let pause = meetRetry;
             try {
-                if (!announced && this.endsAt === undefined) {
+                if (!announced && this.plannedStop === undefined) {
                     await store.announce(this.self.id, { address: this.self.address }, signal);
                     announced = true;
                 }
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -19,6 +19,13 @@
 /** When to come back before the first list of endpoints is read. */
 const notListedRetrySeconds = 0.5;
 
+/** A planned stop of this entry, on the local clock. */
+export interface PlannedStop {
+    begunAt: Milliseconds;
+    /** When what is left is cut. */
+    endsAt: Milliseconds;
+}
+
 /** What forwarding works with. */
 export interface ForwardingParts {
     clock: Clock;
@@ -37,8 +44,8 @@
     /** Name of this entry, and its data centre. */
     entry: string;
     dataCentre: string;
-    /** When this entry cuts what is left; undefined while it isn't stopping. */
-    endsAt: () => Milliseconds | undefined;
+    /** Undefined while this entry isn't stopping. */
+    stop: () => PlannedStop | undefined;
 }
 
 /** Serves callers' exchanges. */
--- a/src/core/forwarding/overload.ts
+++ b/src/core/forwarding/overload.ts
@@ -7,6 +7,7 @@
 import { RequestKind, type Route } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import { FailureKind } from "../failures.js";
+import type { PlannedStop } from "./forwarder.js";
 
 /** When to come back after an endpoint was too busy: the time of a few short requests. */
 export const busyRetrySeconds = 0.25;
@@ -18,8 +19,18 @@
 const patienceAtLeast: Milliseconds = 2_000;
 const patienceTargets = 4;
 const patienceGaps = 8;
-/** Predictions of a whole answer are passed by this much in nine of ten; pauses grow with reads beside it. */
-const stopCaution = 2;
+/**
+ * A balancer still sends callers for so long after an entry has said that it stops: two questions a second apart, and the
+ * third one's answer.
+ */
+const balancerLag: Milliseconds = 3_000;
+/**
+ * Factor on the prediction of a whole answer, which takes the longest answer that was asked for. Later in a stop it is
+ * doubled, as pauses grow with reads beside it. While the balancer still sends, most of the grace is left, and callers
+ * that are refused may meet the next stopping entry.
+ */
+const earlyStopCaution = 1;
+const lateStopCaution = 2;
 
 /** Why a request is turned away, and when its caller should come back. */
 export interface Rejection {
@@ -38,14 +49,20 @@
  * A stopping entry may still get requests, when all entries of its data centre stop and the balancer knows no other. One
  * that can't end before this entry does would be cut in the middle; refused at once, its caller finds another entry.
  */
-export const rejectBeforeStop = (whole: Milliseconds, leftBeforeStop: Milliseconds): Rejection | undefined =>
-    stopCaution * whole > leftBeforeStop
+export const rejectBeforeStop = (
+    whole: Milliseconds,
+    now: Milliseconds,
+    stop: PlannedStop,
+): Rejection | undefined => {
+    const caution = now - stop.begunAt < balancerLag ? earlyStopCaution : lateStopCaution;
+    return now + caution * whole > stop.endsAt
         ? {
             kind: FailureKind.Stopping,
             detail: "this entry stops before the answer could be whole",
             retryAfterSeconds: stoppingRetrySeconds,
         }
         : undefined;
+};
 
 /**
  * Callers give a stream up when its first event takes too long. Work that would be given up before it begins is refused
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -282,8 +282,8 @@
         if (this.sends > 0 || this.relay.begun) {
             return;
         }
-        const endsAt = this.parts.endsAt();
-        const rejection = (endsAt === undefined ? undefined : rejectBeforeStop(whole, endsAt - this.parts.clock.now()))
+        const stop = this.parts.stop();
+        const rejection = (stop && rejectBeforeStop(whole, this.parts.clock.now(), stop))
             ?? rejectHopeless(this.admission.route, firstEvent, waited, this.timeLeft);
         if (rejection) {
             throw this.failure(rejection.kind, rejection.detail, rejection.retryAfterSeconds);
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -120,8 +120,10 @@
         candidates: readonly KnownEndpoint[],
     ): Placement | undefined {
         const alone = readTime(engine, need.promptTokens);
-        if (alone > longRead || need.promptTokens + need.answerTokens > engine.memoryTokens) {
-            return this.placeTeam(need, engine, candidates);
+        const overMemory = need.promptTokens + need.answerTokens > engine.memoryTokens;
+        const team = alone > longRead || overMemory ? this.placeTeam(need, engine, candidates) : undefined;
+        if (team || overMemory) {
+            return team;
         }
         const endpoint = cheapest(candidates, candidate => {
             const load = this.loads.load(candidate.record.id);
