Datagrams and questions of other entries on one port, also where the system picks it

Only port 0 is concerned, as in tests; a port of the settings is used as it is. Change: connections first, datagrams at the same number, and another number when that one is taken.

--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -22,6 +22,7 @@
 import type { Listener } from "../../utils/httpServer.js";
 import type { PartLog } from "../../utils/log.js";
 import { type Random, randomIdentifier } from "../../utils/random.js";
+import { listenOnSamePort } from "../../utils/samePort.js";
 import { CallerPort } from "./callerPort.js";
 import { EndpointClient } from "./endpointClient.js";
 import type { ForwardingSettings } from "./entrySettings.js";
@@ -172,8 +173,12 @@
         const { listen, instance } = this.settings;
         this.readiness = await serveReadiness(listen.readiness, () => this.ready);
         this.metricsListener = await serveMetrics(listen.metrics, () => this.metrics.text(this.gauges()));
-        this.self.address = await this.peerSocket.listen(listen.peers);
-        this.questions = await servePeerState(this.self.address, this.knowledge, this.parts.log("peers"));
+        this.questions = await listenOnSamePort(
+            listen.peers,
+            address => servePeerState(address, this.knowledge, this.parts.log("peers")),
+            address => this.peerSocket.listen(address),
+        );
+        this.self.address = this.questions.address;
         this.run("the heartbeat", this.peers.sayAlive(this.ending.signal));
         this.run("the list of entries", this.meetPeers());
         for (const follower of Object.values(this.followers)) {
