One place that asks another entry and notes its silence

The two questions each caught and logged the same failure; the call does it now. A constant that nothing else uses is no longer exported. Behaviour as before, but that the line names method and question.

--- a/src/adapters/forwarding/peerStateServer.ts
+++ b/src/adapters/forwarding/peerStateServer.ts
@@ -84,31 +84,18 @@
         revision: number,
         limit: Milliseconds,
     ): Promise<StateNews<StateValues[Kind]> | undefined> {
-        try {
-            const question = { format: formatVersion, kind, revision };
-            const answer = answerSchema.safeParse(await this.call(address, stateMethod, question, limit));
-            // The values were decoded by an entry of the same format.
-            return answer.success ? answer.data as StateNews<StateValues[Kind]> : undefined;
-        }
-        catch (error) {
-            this.log.info("An entry doesn't answer.", { address, kind, error: describeError(error) });
-            return undefined;
-        }
+        const question = { format: formatVersion, kind, revision };
+        const answer = answerSchema.safeParse(await this.call(address, stateMethod, question, limit));
+        // The values were decoded by an entry of the same format.
+        return answer.success ? answer.data as StateNews<StateValues[Kind]> : undefined;
     }
 
     async askLoads(address: string, limit: Milliseconds): Promise<WorkInProgress[] | undefined> {
-        try {
-            const answer = loadsSchema.safeParse(await this.call(address, loadsMethod, {}, limit));
-            return answer.success
-                ? answer.data.works.map(({ targetGap, ...work }) => ({ ...work, targetGap }))
-                : undefined;
-        }
-        catch (error) {
-            this.log.info("An entry doesn't answer.", { address, error: describeError(error) });
-            return undefined;
-        }
+        const answer = loadsSchema.safeParse(await this.call(address, loadsMethod, {}, limit));
+        return answer.success ? answer.data.works.map(({ targetGap, ...work }) => ({ ...work, targetGap })) : undefined;
     }
 
+    /** The answer of the entry at `address`; undefined when it gives none in time. */
     private async call(
         address: string,
         method: string,
@@ -120,6 +107,12 @@
             const { value } = await within(this.clock, limit, "another entry's answer", send);
             client.receive(value as JSONRPCResponse);
         });
-        return await client.request(method, question);
+        try {
+            return await client.request(method, question);
+        }
+        catch (error) {
+            this.log.info("An entry doesn't answer.", { address, method, question, error: describeError(error) });
+            return undefined;
+        }
     }
 }
--- a/src/core/configuration/stateFollower.ts
+++ b/src/core/configuration/stateFollower.ts
@@ -30,7 +30,7 @@
  */
 const watchInterval: Milliseconds = 700;
 /** Shortest wait of a watch, for an entry that is alone: two thirds of the time after which it is held to a change. */
-export const watchAtLeast: Milliseconds = 2_000;
+const watchAtLeast: Milliseconds = 2_000;
 /** The longest wait that the store keeps. */
 const watchAtMost: Milliseconds = 25_000;
 /**
