Entries play the engines' passes on, and place by what these tell

A count of reads in turn misses the passes: a request waits for the end of the pass that runs, and all that one reads holds up all that is in it.

--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -2,7 +2,7 @@
 import { JSONRPCClient, type JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
 import dgram from "node:dgram";
 import * as z from "zod";
-import { WorkPart } from "../../core/placement/loadView.js";
+import { WorkPart } from "../../core/placement/engineBelief.js";
 import type { PeerNewsPort, PeerPacket } from "../../ports/peerNewsPort.js";
 import { StateKind } from "../../ports/statePort.js";
 import { splitAddress } from "../../utils/address.js";
@@ -15,10 +15,12 @@
 
 const work = z.object({
     id: z.string(),
+    readTokens: z.number(),
     readTime: z.number(),
     targetGap: z.number().optional(),
     value: z.number(),
     yielding: z.boolean(),
+    firstEventIn: z.number().optional(),
     endsIn: z.number(),
 });
 
--- a/src/adapters/forwarding/peerStateServer.ts
+++ b/src/adapters/forwarding/peerStateServer.ts
@@ -3,7 +3,8 @@
 import { constants, gzipSync } from "node:zlib";
 import * as z from "zod";
 import type { StateNews } from "../../core/configuration/stateMirror.js";
-import { type WorkInProgress, WorkPart } from "../../core/placement/loadView.js";
+import { WorkPart } from "../../core/placement/engineBelief.js";
+import { type WorkInProgress } from "../../core/placement/loadView.js";
 import type { PeerStatePort } from "../../ports/peerStatePort.js";
 import { StateKind, type StateValues } from "../../ports/statePort.js";
 import { within } from "../../utils/bounds.js";
@@ -38,10 +39,12 @@
         owner: z.string(),
         endpoint: z.string(),
         contextTokens: z.number(),
+        readTokens: z.number(),
         readTime: z.number(),
         targetGap: z.number().optional(),
         value: z.number(),
         yielding: z.boolean(),
+        firstEventIn: z.number().optional(),
         part: z.enum(WorkPart),
         endsIn: z.number(),
         writing: z.boolean(),
@@ -131,7 +134,9 @@
 
     async askLoads(address: string, limit: Milliseconds): Promise<WorkInProgress[] | undefined> {
         const answer = loadsSchema.safeParse(await this.call(address, loadsMethod, {}, limit));
-        return answer.success ? answer.data.works.map(({ targetGap, ...work }) => ({ ...work, targetGap })) : undefined;
+        return answer.success
+            ? answer.data.works.map(({ targetGap, firstEventIn, ...work }) => ({ ...work, targetGap, firstEventIn }))
+            : undefined;
     }
 
     /** The answer of the entry at `address`; undefined when it gives none in time. */
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -2,7 +2,7 @@
 import type { EndpointPort } from "../ports/forwardingPorts.js";
 import type { MemoryPort } from "../ports/memoryPort.js";
 import type { KnownRevisions, PeerIdentity, PeerNewsPort } from "../ports/peerNewsPort.js";
-import type { PlacementPolicy } from "../types/routing.js";
+import type { EngineProfile, PlacementPolicy } from "../types/routing.js";
 import type { Clock } from "../utils/clock.js";
 import type { PartLog } from "../utils/log.js";
 import type { Random } from "../utils/random.js";
@@ -58,7 +58,7 @@
         const { clock, random, log, self, dataCentre } = parts;
         this.directory = new EndpointDirectory(clock, log("directory"));
         this.failures = new FailureView(clock);
-        this.loads = new SharedLoads(new LoadView(clock), clock);
+        this.loads = new SharedLoads(new LoadView(clock, endpoint => this.engineOf(endpoint)), clock);
         this.peers = new Peers({
             clock,
             log: log("peers"),
@@ -72,6 +72,7 @@
             inProgress: () => this.forwarder.inProgress,
             onUnreachable: endpoint => this.noteUnreachable(endpoint),
         });
+        this.loads.serviceOf = endpoint => this.directory.find(endpoint)?.record.service;
         this.loads.newsDelay = () => this.peers.newsDelay;
         this.membership = new Membership(this.peers, self.id);
         this.forwarder = new Forwarder({
@@ -95,6 +96,11 @@
         });
     }
 
+    private engineOf(endpoint: string): EngineProfile | undefined {
+        const service = this.directory.find(endpoint)?.record.service;
+        return service === undefined ? undefined : this.configuration.routes?.service(service)?.engine;
+    }
+
     /** Another entry found that nobody listens at this endpoint's address. */
     private noteUnreachable(id: string): void {
         const endpoint = this.directory.find(id);
--- a/src/core/forwarding/overload.ts
+++ b/src/core/forwarding/overload.ts
@@ -71,10 +71,9 @@
 export const rejectHopeless = (
     route: Route,
     firstEvent: Milliseconds,
-    waited: Milliseconds,
-    timeLeft: Milliseconds,
+    patienceLeft: Milliseconds,
 ): Rejection | undefined => {
-    if (route.kind !== RequestKind.Streaming || waited + firstEvent <= Math.min(patienceOf(route), timeLeft)) {
+    if (route.kind !== RequestKind.Streaming || firstEvent <= patienceLeft) {
         return undefined;
     }
     const comeBack = Math.max(busyRetrySeconds, (firstEvent - route.targetLatency) / 1_000);
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -36,6 +36,10 @@
 const memoryPauseAtLeast: Milliseconds = 50;
 const memoryPauseSpread: Milliseconds = 150;
 const firstFailureStatus = 500;
+/** An endpoint that is busy for longer than a few passes has a reason to be silent. */
+const quietAtMost: Milliseconds = 200;
+/** Factor on the prediction of a first event that was put off: predictions are off while much is asked for. */
+const postponedCaution = 1.5;
 
 interface KeptAnswer {
     head: AnswerHead;
@@ -47,6 +51,7 @@
     private readonly attempts = new Attempts();
     private readonly ending = new AbortController();
     private readonly relay: StreamRelay;
+    private wasPostponed = false;
     /** A repeat was taken from the budget when a silent endpoint was left. */
     private repeatTaken = false;
     /** An endpoint's own failure, to be passed on when no other send does better. */
@@ -86,6 +91,10 @@
         for (;;) {
             this.checkTime();
             const placement = this.choose();
+            if (placement.postponed && this.canWait(placement)) {
+                await this.postpone(placement);
+                continue;
+            }
             const outcome = await this.send(placement);
             this.checkTime();
             if (await this.settle(placement.endpoint, outcome)) {
@@ -128,6 +137,23 @@
         }
     }
 
+    /** Whether its first event would still come before the caller gives up, if it were sent after a pause. */
+    private canWait({ firstEvent }: Placement): boolean {
+        return postponedCaution * firstEvent + memoryPauseAtLeast + memoryPauseSpread < this.patienceLeft;
+    }
+
+    private async postpone({ firstEvent }: Placement): Promise<void> {
+        if (!this.wasPostponed) {
+            this.wasPostponed = true;
+            this.parts.metrics.count("postponed_total");
+            this.note("Postponed.", undefined, {
+                promptTokens: this.request.size?.promptTokens,
+                predicted: Math.round(firstEvent),
+            });
+        }
+        await this.pauseForMemory();
+    }
+
     private pauseForMemory(): Promise<void> {
         const { clock, random } = this.parts;
         return clock.sleep(memoryPauseAtLeast + random.next() * memoryPauseSpread, this.ending.signal);
@@ -232,26 +258,29 @@
         return true;
     }
 
+    /** Where the request would go now, but for the endpoint `without`. */
+    private place(without?: string): Placement | undefined {
+        const { route, service } = this.admission;
+        const candidates = this.candidates().filter(({ record }) => record.id !== without);
+        const need = {
+            service,
+            promptTokens: this.request.size?.promptTokens ?? 0,
+            answerTokens: this.request.size?.answerTokensAtMost ?? 0,
+            targetLatency: route.targetLatency,
+            targetGap: route.targetGap,
+            targetLeft: route.targetLatency - this.waited,
+            patienceLeft: this.patienceLeft,
+            dataCentre: this.parts.dataCentre,
+            broken: this.attempts.broken,
+            refused: this.attempts.refused,
+            lacking: this.attempts.lacking,
+        };
+        return this.parts.placer.place(need, candidates);
+    }
+
     private choose(): Placement {
-        const { placer, dataCentre } = this.parts;
-        const { service, route } = this.admission;
-        const { waited } = this;
-        const placement = placer.place(
-            {
-                service,
-                promptTokens: this.request.size?.promptTokens ?? 0,
-                answerTokens: this.request.size?.answerTokensAtMost ?? 0,
-                targetLatency: route.targetLatency,
-                targetGap: route.targetGap,
-                targetLeft: route.targetLatency - waited,
-                patienceLeft: Math.min(patienceOf(route) - waited, this.timeLeft),
-                dataCentre,
-                broken: this.attempts.broken,
-                refused: this.attempts.refused,
-                lacking: this.attempts.lacking,
-            },
-            this.candidates(),
-        );
+        const { service } = this.admission;
+        const placement = this.place();
         if (!placement && this.attempts.lacking.size > 0 && !this.ending.signal.aborted) {
             this.attempts.forgetLacking();
             return this.choose();
@@ -260,7 +289,7 @@
             const detail = `no endpoint of ${service.name} may get work`;
             throw this.failure(FailureKind.NoEndpoint, detail, noEndpointRetrySeconds);
         }
-        this.checkWorth(placement, waited);
+        this.checkWorth(placement);
         return placement;
     }
 
@@ -272,15 +301,12 @@
         );
     }
 
-    /** Turns a request away that was not sent yet and can't end in time. */
-    private checkWorth(placement: Placement, waited: Milliseconds): void {
-        const { whole, firstEvent } = placement;
-        if (this.attempts.taken > 0 || this.relay.begun) {
-            return;
-        }
-        const stop = this.parts.stop();
+    /** Turns a request away that can't end in time. */
+    private checkWorth({ whole, firstEvent }: Placement): void {
+        const untouched = this.attempts.taken === 0 && !this.relay.begun;
+        const stop = untouched ? this.parts.stop() : undefined;
         const rejection = (stop && rejectBeforeStop(whole, this.parts.clock.now(), stop))
-            ?? rejectHopeless(this.admission.route, firstEvent, waited, this.timeLeft);
+            ?? rejectHopeless(this.admission.route, firstEvent, this.patienceLeft);
         if (rejection) {
             throw this.failure(rejection.kind, rejection.detail, rejection.retryAfterSeconds);
         }
@@ -316,21 +342,31 @@
         });
     }
 
-    /** Whether a silent endpoint can be left: the request may run again, and another endpoint can take it. */
+    /**
+     * Whether a silent endpoint is left: the request may run again, and another endpoint would answer before the caller gives
+     * up. Left for one that is as busy, it would only lose its place.
+     */
     private mayLeave({ record }: KnownEndpoint): boolean {
-        const { service } = this.admission;
+        const { passLeft, readBacklog } = this.parts.loads.load(record.id);
         // An endpoint that reads a long prompt is silent for a while, and no other would be quicker.
-        const worthLeaving = this.parts.loads.load(record.id).readBacklog <= 0
+        const worthLeaving = passLeft + readBacklog < quietAtMost
             && this.relay.canContinue
             && this.maySendAgain(this.admission.repeatable)
-            && this.candidates().some(other =>
-                other.record.id !== record.id && !this.attempts.broken.has(other.record.id)
-                && !this.attempts.refused.has(other.record.id)
-            );
-        this.repeatTaken = worthLeaving && this.parts.repeats.take(service.name);
+            && this.answersInTime(this.place(record.id));
+        this.repeatTaken = worthLeaving && this.parts.repeats.take(this.admission.service.name);
         return this.repeatTaken;
     }
 
+    private answersInTime(placement: Placement | undefined): boolean {
+        return placement !== undefined && !this.attempts.broken.has(placement.endpoint.record.id)
+            && placement.firstEvent < this.patienceLeft;
+    }
+
+    /** How much longer the caller waits for the next event. */
+    private get patienceLeft(): Milliseconds {
+        return Math.min(patienceOf(this.admission.route) - this.relay.sinceLastEvent, this.timeLeft);
+    }
+
     /** Goes on to another endpoint, unless the caller will have given up before it could answer. */
     private passOver(detail: string): void {
         if (this.waited > patienceOf(this.admission.route)) {
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -4,7 +4,7 @@
 import { RequestKind } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import { cancel } from "../../utils/signal.js";
-import { type PlacedWork, WorkPart } from "../placement/loadView.js";
+import { type PlacedWork, WorkPart } from "../placement/engineBelief.js";
 import { type Placement, valueOf } from "../placement/placer.js";
 import type { Admission } from "./admission.js";
 import type { ForwardingParts } from "./forwardingParts.js";
@@ -208,10 +208,12 @@
         const work = {
             id: request.id,
             owner: this.parts.entry,
+            readTokens: promptTokens / (1 + placement.helpers.length),
             readTime: placement.readTime,
             targetGap: admission.route.targetGap,
             value: valueOf(promptTokens),
             yielding: placement.yields,
+            firstEventIn: placement.helpers.length === 0 ? placement.firstEvent : undefined,
             endsBy: admission.deadline,
         };
         const main = {
--- a/src/core/forwarding/streamRelay.ts
+++ b/src/core/forwarding/streamRelay.ts
@@ -30,6 +30,11 @@
         return !this.begun || this.lastEvent !== undefined;
     }
 
+    /** Time since the caller had an event, or since it asked. */
+    get sinceLastEvent(): Milliseconds {
+        return this.clock.now() - this.exchange.head.arrivedAt - (this.eventAt ?? 0);
+    }
+
     /** Passes all events of one endpoint; calls `onFirst` with the first. Throws when the stream breaks off. */
     async pass(head: AnswerHead, events: AsyncIterable<StreamEvent>, onFirst: () => void): Promise<void> {
         let writing = false;
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -11,7 +11,7 @@
 } from "../../ports/peerNewsPort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
-import type { PlacedWork } from "../placement/loadView.js";
+import type { PlacedWork } from "../placement/engineBelief.js";
 import type { LoadNews, SharedLoads } from "../placement/sharedLoads.js";
 import { atOnce, NewsSender, placing, settling } from "./newsSender.js";
 import { type LivingPeer, PeerRegistry } from "./peerRegistry.js";
@@ -241,10 +241,19 @@
 }
 
 const travelling = (works: readonly PlacedWork[], now: Milliseconds): PeerNews => {
-    const { id, readTime, targetGap, value, yielding, endsBy } = works[0]!;
+    const { id, readTokens, readTime, targetGap, value, yielding, firstEventIn, endsBy } = works[0]!;
     return {
         type: "Placed",
-        work: { id, readTime: Math.round(readTime), targetGap, value, yielding, endsIn: Math.round(endsBy - now) },
+        work: {
+            id,
+            readTokens: Math.round(readTokens),
+            readTime: Math.round(readTime),
+            targetGap,
+            value,
+            yielding,
+            firstEventIn: firstEventIn === undefined ? undefined : Math.round(firstEventIn),
+            endsIn: Math.round(endsBy - now),
+        },
         parts: works.map(work => [work.endpoint, work.part, work.contextTokens]),
     };
 };
--- a/src/core/placement/loadView.ts
+++ b/src/core/placement/loadView.ts
@@ -1,49 +1,11 @@
 /**
  * What is believed to be in progress at each endpoint: this entry's own requests, and those that other entries told of.
  *
- * The belief decays by itself: work ends by its deadline at the latest, and reads go on in the engine's own order and at its
- * published speed.
+ * The belief decays by itself: work ends by its deadline at the latest, and engines go on by their published speeds.
  */
+import type { EngineProfile } from "../../types/routing.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
-
-/** What of a request an endpoint does. */
-export enum WorkPart {
-    /** All of it, or all but what others read for it. */
-    Main = "main",
-    /** Reads a part of the prompt for another endpoint. */
-    Read = "read",
-    /** Reads a part, and holds a part's memory until the request ends. */
-    Hold = "hold",
-}
-
-/** A request placed at an endpoint. */
-export interface PlacedWork {
-    /** Names the attempt over all entries. */
-    id: string;
-    /** The entry that placed it. */
-    owner: string;
-    endpoint: string;
-    /** Memory that it needs here until its end, in tokens; 0 for plain services. */
-    contextTokens: number;
-    /** Predicted time of reading it at this endpoint. */
-    readTime: Milliseconds;
-    /** The longest pause that its caller wants; undefined where it doesn't write a stream. */
-    targetGap: Milliseconds | undefined;
-    /** What is lost when it is late, relative to other work. */
-    value: number;
-    /** Whether it lets later requests go first, as it is late in any case. */
-    yielding: boolean;
-    part: WorkPart;
-    /** When it has ended at the latest. */
-    endsBy: Milliseconds;
-}
-
-interface Work extends PlacedWork {
-    placedAt: Milliseconds;
-    writing: boolean;
-    /** Of its read time, what is left as of the last look. */
-    readLeft: Milliseconds;
-}
+import { type BelievedWork, EngineBelief, type PlacedWork, WorkPart } from "./engineBelief.js";
 
 /** Work in progress as one entry tells it to another that has just started: times as what is left of them. */
 export type WorkInProgress = Omit<PlacedWork, "endsBy"> & { endsIn: Milliseconds; writing: boolean; };
@@ -61,12 +23,25 @@
     contextTokens: number;
     /** Memory taken by all that is in progress, in tokens. */
     memoryTokens: number;
-    /** Time until all reading is done. */
+    /** Time until the pass that runs is over. */
+    passLeft: Milliseconds;
+    /** Time to read what waits for a later pass. */
     readBacklog: Milliseconds;
-    /** Sum of the values of what reads. */
-    readingValue: number;
-    /** Sum of the writers' values, by the pause they tolerate. */
-    tolerances: { targetGap: Milliseconds; value: number; }[];
+    /**
+     * How much longer than predicted the oldest request here has waited without any other's first event. It tells of what no
+     * prediction knows: an engine that is slow, or stalls, or was given work by somebody who can't be heard.
+     */
+    overdue: Milliseconds;
+    /** Who reads and who writes here, as far as they mind waiting. */
+    reading: Waiting[];
+    writing: Waiting[];
+}
+
+/** A request that waits for its next event. */
+export interface Waiting {
+    /** The longest pause that its caller wants. */
+    targetGap: Milliseconds;
+    value: number;
 }
 
 /**
@@ -82,120 +57,71 @@
     writers: 0,
     contextTokens: 0,
     memoryTokens: 0,
+    passLeft: 0,
     readBacklog: 0,
-    readingValue: 0,
-    tolerances: [],
+    overdue: 0,
+    reading: [],
+    writing: [],
 };
 
-/** The work of one endpoint. */
-class EndpointWorks {
-    readonly works = new Map<string, Work>();
-    private readAt: Milliseconds;
-
-    constructor(now: Milliseconds) {
-        this.readAt = now;
-    }
-
-    /** Lets the reads go on until `now`. */
-    advance(now: Milliseconds): void {
-        let time = now - this.readAt;
-        this.readAt = now;
-        while (time > 0) {
-            const next = this.nextRead();
-            if (!next) {
-                return;
-            }
-            const done = Math.min(time, next.readLeft);
-            next.readLeft -= done;
-            time -= done;
-        }
-    }
-
-    /**
-     * What the engine reads now: the newest part for another endpoint, else its own oldest prompt. Taken in the order of
-     * arrival, a part that later ones overtook would seem done while it holds up everything else for seconds.
-     */
-    private nextRead(): Work | undefined {
-        let part: Work | undefined;
-        let own: Work | undefined;
-        for (const work of this.works.values()) {
-            if (work.readLeft <= 0 || work.writing || work.yielding) {
-                continue;
-            }
-            if (work.part === WorkPart.Main) {
-                own ??= work;
-            }
-            else {
-                part = work;
-            }
-        }
-        return part ?? own;
-    }
-}
-
 /** Work in progress by endpoint. */
 export class LoadView {
-    private readonly byEndpoint = new Map<string, EndpointWorks>();
+    private readonly beliefs = new Map<string, EngineBelief>();
     /** Where the parts of work are placed. */
     private readonly endpointsOf = new Map<string, string[]>();
     /** When work ended that wasn't known, by endpoint and work. */
     private readonly ends = new Map<string, Milliseconds>();
 
-    constructor(private readonly clock: Clock) {}
+    /** `engineOf` gives the speeds of an endpoint's engine; undefined for plain services. */
+    constructor(
+        private readonly clock: Clock,
+        private readonly engineOf: (endpoint: string) => EngineProfile | undefined,
+    ) {}
 
     /** Notes that work was placed. */
     place(work: PlacedWork): void {
         const now = this.clock.now();
-        if (now - (this.ends.get(endKey(work.endpoint, work.id)) ?? -Infinity) < endRemembered) {
+        const { id, endpoint } = work;
+        if (now - (this.ends.get(endKey(endpoint, id)) ?? -Infinity) < endRemembered) {
             return;
         }
-        let present = this.byEndpoint.get(work.endpoint);
-        if (!present) {
-            present = new EndpointWorks(now);
-            this.byEndpoint.set(work.endpoint, present);
+        let belief = this.beliefs.get(endpoint);
+        if (!belief) {
+            belief = new EngineBelief(() => this.engineOf(endpoint));
+            this.beliefs.set(endpoint, belief);
         }
-        if (present.works.has(work.id)) {
+        if (belief.works.has(id)) {
             // Told twice; counted again it would seem to read behind itself.
             return;
         }
-        present.advance(now);
-        present.works.set(work.id, { ...work, placedAt: now, writing: false, readLeft: work.readTime });
-        const places = this.endpointsOf.get(work.id);
-        if (places) {
-            places.push(work.endpoint);
-        }
-        else {
-            this.endpointsOf.set(work.id, [work.endpoint]);
-        }
+        belief.add({ ...work, placedAt: now, writing: false, begun: false, readLeft: work.readTime }, now);
+        this.endpointsOf.set(id, [...this.endpointsOf.get(id) ?? [], endpoint]);
     }
 
     /** Notes that work writes now; its reading is done, and so are the parts that others read for it. */
     writes(endpoint: string, id: string): void {
-        const work = this.byEndpoint.get(endpoint)?.works.get(id);
-        if (!work) {
+        const belief = this.beliefs.get(endpoint);
+        const work = belief?.works.get(id);
+        if (!belief || !work) {
             return;
         }
         const now = this.clock.now();
         for (const place of this.endpointsOf.get(id) ?? []) {
-            const present = this.byEndpoint.get(place);
-            const part = present?.works.get(id);
-            if (present && part) {
-                present.advance(now);
-                part.readLeft = 0;
-            }
+            this.beliefs.get(place)?.noteRead(id, now);
         }
         work.writing = true;
+        work.begun = true;
+        belief.progressAt = now;
+        belief.advance(now);
     }
 
     /** Notes that work has ended. */
     end(endpoint: string, id: string): void {
-        const now = this.clock.now();
-        const present = this.byEndpoint.get(endpoint);
-        if (present?.works.has(id)) {
-            present.advance(now);
+        if (this.beliefs.get(endpoint)?.works.has(id)) {
             this.remove(endpoint, id);
             return;
         }
+        const now = this.clock.now();
         this.ends.set(endKey(endpoint, id), now);
         for (const [key, at] of this.ends) {
             if (now - at < endRemembered) {
@@ -209,11 +135,16 @@
     inProgress(): WorkInProgress[] {
         const now = this.clock.now();
         const all: WorkInProgress[] = [];
-        for (const present of this.byEndpoint.values()) {
-            present.advance(now);
-            for (const { placedAt, readLeft, endsBy, ...work } of present.works.values()) {
+        for (const belief of this.beliefs.values()) {
+            belief.advance(now);
+            for (const { placedAt, readLeft, begun, endsBy, ...work } of belief.works.values()) {
                 if (now < endsBy && placedAt <= now) {
-                    all.push({ ...work, readTime: readLeft, endsIn: endsBy - now });
+                    all.push({
+                        ...work,
+                        ...restOf(work, readLeft),
+                        writing: begun || work.writing,
+                        endsIn: endsBy - now,
+                    });
                 }
             }
         }
@@ -233,7 +164,7 @@
 
     /** Drops what `owner` placed before `before` and doesn't name in `inProgress`. */
     keepOnly(owner: string, inProgress: ReadonlySet<string>, before: Milliseconds): void {
-        for (const [endpoint, { works }] of this.byEndpoint) {
+        for (const [endpoint, { works }] of this.beliefs) {
             for (const work of works.values()) {
                 if (work.owner === owner && work.placedAt <= before && !inProgress.has(work.id)) {
                     this.remove(endpoint, work.id);
@@ -244,25 +175,26 @@
 
     /** What is in progress at `endpoint` now. */
     load(endpoint: string): EndpointLoad {
-        const present = this.byEndpoint.get(endpoint);
-        if (!present || present.works.size === 0) {
+        const belief = this.beliefs.get(endpoint);
+        if (!belief || belief.works.size === 0) {
             return idle;
         }
         const now = this.clock.now();
-        present.advance(now);
-        const load: EndpointLoad = { ...idle, tolerances: [] };
-        for (const work of present.works.values()) {
+        belief.advance(now);
+        const load: EndpointLoad = { ...idle, reading: [], writing: [], passLeft: belief.passLeft(now) };
+        for (const work of belief.works.values()) {
             if (now >= work.endsBy || (work.part === WorkPart.Read && work.readLeft <= 0)) {
                 this.remove(endpoint, work.id);
                 continue;
             }
-            addWork(load, work);
+            addWork(load, work, belief.unread(work));
+            load.overdue = Math.max(load.overdue, overdueOf(work, belief.progressAt, now));
         }
         return load;
     }
 
     private remove(endpoint: string, id: string): void {
-        this.byEndpoint.get(endpoint)?.works.delete(id);
+        this.beliefs.get(endpoint)?.remove(id, this.clock.now());
         const places = this.endpointsOf.get(id)?.filter(place => place !== endpoint) ?? [];
         if (places.length > 0) {
             this.endpointsOf.set(id, places);
@@ -273,9 +205,27 @@
     }
 }
 
+/** Work that was read in part goes on as shorter work. */
+const restOf = (work: Omit<PlacedWork, "endsBy">, readLeft: Milliseconds) => ({
+    readTime: readLeft,
+    readTokens: work.readTime > 0 ? work.readTokens * readLeft / work.readTime : 0,
+});
+
+/** The work waits for its first event, or for the word of it, although it must be there by now. */
+const overdueOf = (work: BelievedWork, progressAt: Milliseconds, now: Milliseconds): Milliseconds =>
+    work.firstEventIn === undefined || work.yielding || work.begun
+        ? 0
+        : now - Math.max(work.placedAt + work.firstEventIn, progressAt);
+
+const noteWaiting = (list: Waiting[], { targetGap, value }: BelievedWork): void => {
+    if (targetGap !== undefined) {
+        list.push({ targetGap, value });
+    }
+};
+
 const endKey = (endpoint: string, id: string): string => `${endpoint} ${id}`;
 
-const addWork = (load: EndpointLoad, work: Work): void => {
+const addWork = (load: EndpointLoad, work: BelievedWork, unread: Milliseconds): void => {
     if (work.part === WorkPart.Hold) {
         load.memoryTokens += work.contextTokens;
         if (work.readLeft <= 0) {
@@ -293,13 +243,11 @@
             return;
         }
         load.readers++;
-        load.readBacklog += work.readLeft;
-        load.readingValue += work.value;
+        load.readBacklog += unread;
+        noteWaiting(load.reading, work);
         return;
     }
     load.writers++;
     load.contextTokens += work.contextTokens;
-    if (work.targetGap !== undefined) {
-        load.tolerances.push({ targetGap: work.targetGap, value: work.value });
-    }
+    noteWaiting(load.writing, work);
 };
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -9,15 +9,14 @@
 import type { Milliseconds } from "../../utils/clock.js";
 import type { Random } from "../../utils/random.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
+import type { Demand } from "./demand.js";
 import { passTime, readTime, readTimeInPass, writeTime } from "./engineCost.js";
 import type { FailureView } from "./failureView.js";
-import type { EndpointLoad } from "./loadView.js";
-import { chooseTeam, type TeamShare } from "./team.js";
+import type { EndpointLoad, Waiting } from "./loadView.js";
+import { chooseTeam, readPart, type TeamShare } from "./team.js";
 
-/** A read this long is spread over helpers: it would hold up an endpoint for longer than short prompts can wait. */
-const longRead: Milliseconds = 800;
-/** Writers that short prompts are packed to on one endpoint; each further one stretches the pauses of all. */
-const writersPacked = 7;
+/** Slots that short prompts leave free when they are packed on one endpoint, for what is placed there at the same time. */
+const slotsSpared = 1;
 /** A read up to this time goes beside writers; it lengthens one pause by its own time at most. */
 const shortRead: Milliseconds = 100;
 /** Part of a target from which on a prediction begins to count as late, and where it counts in full. */
@@ -29,6 +28,8 @@
 const packingCost = 0.002;
 const distanceCost = 0.001;
 const queueCost = 0.02;
+/** First events are told this late, and predictions are off by as much without a reason. */
+const overdueSlack: Milliseconds = 100;
 /** What it costs, relative to its value, to wait at an endpoint until others have given memory back. */
 const memoryWaitCost = 0.5;
 
@@ -43,8 +44,13 @@
     load(endpoint: string): EndpointLoad;
     /** Placements by other entries that are probably not known here yet. */
     readonly unheard: number;
+    /** What engine time is worth. */
+    readonly demand: Demand;
 }
 
+/** Callers who wait for an event for so many times the pause that they want give up. */
+const patienceGaps = 8;
+
 /** What is to be placed. */
 export interface PlacementNeed {
     service: ServiceDefinition;
@@ -80,6 +86,8 @@
     yields: boolean;
     /** Predicted time to the answer's end. */
     whole: Milliseconds;
+    /** Whether it should wait: its engine time would cost others more than it gains now. */
+    postponed: boolean;
 }
 
 /** What is lost when a generation is late, relative to others. Longer prompts are worth more. */
@@ -124,6 +132,7 @@
                 firstEvent: 0,
                 yields: false,
                 whole: need.targetLatency,
+                postponed: false,
             };
     }
 
@@ -134,7 +143,9 @@
     ): Placement | undefined {
         const alone = readTime(engine, need.promptTokens);
         const overMemory = need.promptTokens + need.answerTokens > engine.memoryTokens;
-        const team = alone > longRead || overMemory ? this.placeTeam(need, engine, candidates) : undefined;
+        const team = alone > readPart * need.targetLatency || overMemory
+            ? this.placeTeam(need, engine, candidates)
+            : undefined;
         if (team || overMemory) {
             return team;
         }
@@ -151,7 +162,16 @@
         const yields = slotWait(engine, load, need.answerTokens) > need.targetLeft;
         const behind = yields ? firstEvent + overtakenWait(engine, load, need.answerTokens) : firstEvent;
         const whole = behind + writing;
-        return { endpoint, helpers: [], shares: [], readTime: alone, firstEvent: behind, yields, whole };
+        return {
+            endpoint,
+            helpers: [],
+            shares: [],
+            readTime: alone,
+            firstEvent: behind,
+            yields,
+            whole,
+            postponed: false,
+        };
     }
 
     /**
@@ -177,19 +197,19 @@
             engine,
             promptTokens: need.promptTokens,
             answerTokens: need.answerTokens,
+            targetLatency: need.targetLatency,
             candidates: candidates.filter(({ record }) => !need.lacking.has(record.id)),
             loadOf: ({ record }) => this.loads.load(record.id),
             lossOf: firstEvent =>
                 queueCost * value * firstEvent / need.targetLatency
-                + value * (lateLoss * lateness(firstEvent, Math.max(1, need.targetLeft))
-                        + (1 - lateLoss) * lateness(firstEvent, Math.max(1, need.patienceLeft))),
+                + value * lossWhenLate(need, firstEvent),
             partLossOf: (load, part, tokens) =>
-                pauseLossOf(
-                    load,
+                waitLossOf(
+                    load.writing,
                     passTime(engine, load.writers, load.contextTokens)
                         + readTimeInPass(engine, part, tokens, load.readBacklog),
                 )
-                + load.readingValue * lateLoss * Math.min(1, part / need.targetLatency),
+                + waitLossOf(load.reading, part),
         });
         if (!team) {
             return undefined;
@@ -203,7 +223,21 @@
             contextTokens + (shares[0]?.tokens ?? need.promptTokens),
         );
         const whole = firstEvent + writing;
-        return { endpoint: endpoint!, helpers, shares, readTime: part, firstEvent, yields: false, whole };
+        const postponed = this.costsMore(need, engine, firstEvent, candidates.length);
+        return { endpoint: endpoint!, helpers, shares, readTime: part, firstEvent, yields: false, whole, postponed };
+    }
+
+    /** Whether the engine time of a long prompt is worth more to others than what it still gains. */
+    private costsMore(
+        need: PlacementNeed,
+        engine: EngineProfile,
+        firstEvent: Milliseconds,
+        engines: number,
+    ): boolean {
+        const slotTime = slotTimeOf(engine, need);
+        const price = this.loads.demand.price(need.service.name, engines, slotTime);
+        const gain = valueOf(need.promptTokens) * (1 - lossWhenLate(need, firstEvent));
+        return price * (readTime(engine, need.promptTokens) + slotTime) > gain;
     }
 
     /** What is lost by placing a read of `part` at a candidate. */
@@ -219,12 +253,12 @@
         let cost = value * lateness(firstEvent, Math.max(1, need.targetLeft));
         const pause = passTime(engine, load.writers + 1, load.contextTokens + need.promptTokens)
             + readTimeInPass(engine, part, need.promptTokens, load.readBacklog);
-        cost += pauseLossOf(load, pause);
+        cost += waitLossOf(load.writing, pause);
         if (load.memoryTokens + need.promptTokens + need.answerTokens > engine.memoryTokens) {
             cost += memoryWaitCost * value;
         }
-        cost += queueCost * value * waitBefore(engine, load, need.answerTokens) / need.targetLatency;
-        cost += part <= shortRead ? packing(load) : packingCost * load.writers;
+        cost += queueCost * value * unusualWait(engine, load, need.answerTokens) / need.targetLatency;
+        cost += part <= shortRead ? packing(engine, load) : packingCost * load.writers;
         return cost + this.plainCost(need, candidate) * value;
     }
 
@@ -234,22 +268,30 @@
     }
 }
 
-/** What is lost when those that write at an endpoint pause for so long. */
-const pauseLossOf = (load: EndpointLoad, pause: Milliseconds): number => {
+/** Part of its value that a prompt loses with its first event after `firstEvent`: by its target, and by giving up. */
+const lossWhenLate = (need: PlacementNeed, firstEvent: Milliseconds): number =>
+    lateLoss * lateness(firstEvent, Math.max(1, need.targetLeft))
+    + (1 - lateLoss) * lateness(firstEvent, Math.max(1, need.patienceLeft));
+
+/** What is lost when those that read or write at an endpoint wait so long for their next event. */
+const waitLossOf = (waiting: readonly Waiting[], wait: Milliseconds): number => {
     let loss = 0;
-    for (const other of load.tolerances) {
-        loss += other.value * lateness(pause, other.targetGap);
+    for (const { targetGap, value } of waiting) {
+        loss += value
+            * (lateLoss * lateness(wait, targetGap) + (1 - lateLoss) * lateness(wait, patienceGaps * targetGap));
     }
     return loss;
 };
 
 /** Short prompts join those that write already, so that other endpoints stay free for long reads. */
-const packing = (load: EndpointLoad): number =>
-    load.writers < writersPacked ? packingCost * (writersPacked - load.writers) : packingCost * 3 * load.writers;
+const packing = (engine: EngineProfile, load: EndpointLoad): number => {
+    const packed = engine.slots - slotsSpared;
+    return load.writers < packed ? packingCost * (packed - load.writers) : packingCost * 3 * load.writers;
+};
 
 /**
- * Half a pass is left on average, then what waits is read, then this prompt, then its first pass writes. An engine that
- * does nothing else begins to write with the next step.
+ * The pass that runs goes on to its end, then one reads what waits, and this prompt, and writes its first tokens. An engine
+ * without writers begins to write with the next step.
  */
 const predictFirstEvent = (
     engine: EngineProfile,
@@ -257,17 +299,25 @@
     part: Milliseconds,
     answerTokens: number,
 ): Milliseconds => {
-    if (load.writers + load.readers === 0) {
-        return part + engine.stepTime;
-    }
-    const pass = passTime(engine, load.writers + 1, load.contextTokens);
-    const running = load.writers > 0 ? pass / 2 : 0;
-    return waitBefore(engine, load, answerTokens) + running + part + pass;
+    const pass = load.writers > 0 ? passTime(engine, load.writers + 1, load.contextTokens) : engine.stepTime;
+    return waitBefore(engine, load, answerTokens) + part + pass;
 };
 
-/** The wait until a prompt is read: for a slot, and for what is read before. */
+/**
+ * The wait until a prompt is read: for a slot, and for what is read before. Where that has taken longer than predicted, it
+ * will go on to do so: about as long again.
+ */
 const waitBefore = (engine: EngineProfile, load: EndpointLoad, answerTokens: number): Milliseconds =>
-    slotWait(engine, load, answerTokens) + load.readBacklog;
+    slotWait(engine, load, answerTokens) + load.passLeft + load.readBacklog
+    + Math.max(0, load.overdue - overdueSlack);
+
+/** Engine time that the answer of a usual request takes, when all slots are used. */
+const slotTimeOf = (engine: EngineProfile, need: PlacementNeed): Milliseconds =>
+    writeTime(engine, engine.usual?.answerTokens ?? need.answerTokens, engine.slots - 1, 0) / engine.slots;
+
+/** The wait beyond what is left of a pass that only writes; that much is the same everywhere. */
+const unusualWait = (engine: EngineProfile, load: EndpointLoad, answerTokens: number): Milliseconds =>
+    Math.max(0, waitBefore(engine, load, answerTokens) - passTime(engine, load.writers, load.contextTokens));
 
 /**
  * The wait for a slot, when few endpoints are left and all are full. Slots come free one by one as answers end. Requests
--- a/src/core/placement/sharedLoads.ts
+++ b/src/core/placement/sharedLoads.ts
@@ -1,7 +1,9 @@
 /** The load view together with telling the other entries what this one places. */
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { SlidingWindow } from "../../utils/slidingWindow.js";
-import type { EndpointLoad, LoadView, PlacedWork, WorkInProgress } from "./loadView.js";
+import { Demand } from "./demand.js";
+import type { PlacedWork } from "./engineBelief.js";
+import type { EndpointLoad, LoadView, WorkInProgress } from "./loadView.js";
 
 /** Over which the rate of placements is taken. */
 const rateWindow: Milliseconds = 1_000;
@@ -17,12 +19,17 @@
     /** Gets all news of this entry's own work. */
     tell: (news: LoadNews) => void = () => {};
 
+    /** What engine time is worth. */
+    readonly demand: Demand;
+    /** The service of an endpoint. */
+    serviceOf: (endpoint: string) => string | undefined = () => undefined;
     /** How long news of a placement is on its way. */
     newsDelay: () => Milliseconds = () => 0;
     private readonly placements: SlidingWindow;
 
     constructor(private readonly view: LoadView, clock: Clock) {
         this.placements = new SlidingWindow(clock, rateWindow);
+        this.demand = new Demand(clock);
     }
 
     /** Placements by other entries that are probably on their way and not known here. */
@@ -53,6 +60,7 @@
         switch (news.type) {
             case "Placed":
                 this.placements.add();
+                this.noteDemand(news.works);
                 for (const work of news.works) {
                     this.view.place(work);
                 }
@@ -68,6 +76,14 @@
         }
     }
 
+    private noteDemand(works: readonly PlacedWork[]): void {
+        const { endpoint, value } = works[0]!;
+        const service = this.serviceOf(endpoint);
+        if (service !== undefined) {
+            this.demand.note(service, works.reduce((sum, { readTime }) => sum + readTime, 0), value);
+        }
+    }
+
     /** Drops what another entry placed before `before` and no longer has in progress. */
     keepOnly(owner: string, inProgress: ReadonlySet<string>, before: Milliseconds): void {
         this.view.keepOnly(owner, inProgress, before);
--- a/src/core/placement/team.ts
+++ b/src/core/placement/team.ts
@@ -14,18 +14,13 @@
 
 /** Endpoints that read one prompt: the one that gets the order, and as many helpers as engines take. */
 export const readersAtMost = 16;
-/** Shorter parts gain little for this prompt, and leave none for the next. */
-const partAtLeast: Milliseconds = 800;
+/** Part of its target for which each endpoint reads at least. Shorter parts gain little, and keep more endpoints from others. */
+export const readPart = 0.5;
 /** Memory is kept in blocks, and the last of each share is not full. */
 const blockTokens = 16;
 /** Part of an endpoint's free memory that is asked for; other entries' newest work may not be known yet. */
 const usedPart = 0.97;
 
-/** Part of the endpoints that short prompts are left when a long one is read by many at once. */
-const keptFree = 0.4;
-/** About the time for which a short answer is written; so many of them begin in it as are being written. */
-const shortAnswer: Milliseconds = 2_000;
-
 /** Memory of one member, in tokens. */
 export interface TeamShare {
     endpoint: KnownEndpoint;
@@ -55,6 +50,7 @@
     engine: EngineProfile;
     promptTokens: number;
     answerTokens: number;
+    targetLatency: Milliseconds;
     candidates: readonly KnownEndpoint[];
     loadOf: (endpoint: KnownEndpoint) => EndpointLoad;
     /** What is lost when the first event comes after `firstEvent`. */
@@ -65,6 +61,7 @@
 
 /** The team that loses least; undefined when no team has the memory. */
 export const chooseTeam = (need: TeamNeed): Team | undefined => {
+    const partAtLeast = readPart * need.targetLatency;
     const ranked = rankedMembers(need, partAtLeast);
     const tokens = need.promptTokens + need.answerTokens;
     const alone = readTime(need.engine, need.promptTokens);
@@ -87,7 +84,6 @@
         const part = alone / count;
         const firstEvent = firstEventOf(need, readers, part);
         let loss = need.lossOf(firstEvent);
-        loss += occupancyLoss(members, count, part);
         for (const { load } of readers) {
             loss += need.partLossOf(load, part, need.promptTokens / count);
         }
@@ -99,24 +95,6 @@
     return best;
 };
 
-/**
- * What is lost by short prompts that come while `count` more endpoints read for `part`. They go where nobody reads; with
- * too few such endpoints left, they wait for the end of the part and are late.
- */
-const occupancyLoss = (members: readonly Member[], count: number, part: Milliseconds): number => {
-    let reading = count;
-    let written = 0;
-    for (const [index, { load }] of members.entries()) {
-        reading += index >= count && load.readers > 0 ? 1 : 0;
-        for (const { value } of load.tolerances) {
-            written += value;
-        }
-    }
-    const free = 1 - reading / members.length;
-    const shortage = Math.max(0, keptFree - free) / keptFree;
-    return written * part / shortAnswer * shortage;
-};
-
 /** Idle endpoints first, then those whose writers and readers lose least. */
 const rankedMembers = (need: TeamNeed, part: Milliseconds): Member[] => {
     const { engine, promptTokens, candidates, loadOf, partLossOf } = need;
@@ -125,7 +103,7 @@
             const load = loadOf(endpoint);
             const freeTokens = Math.floor(Math.max(0, engine.memoryTokens - load.memoryTokens) * usedPart);
             const rank = partLossOf(load, part, promptTokens * part / readTime(engine, promptTokens))
-                + load.readBacklog / 1_000;
+                + (load.passLeft + load.readBacklog) / 1_000;
             return { member: { endpoint, load, freeTokens }, rank };
         })
         .filter(({ member }) => member.load.requests < engine.slots)
@@ -143,10 +121,13 @@
     if (free.length > 0) {
         return free;
     }
-    const soonest = [...members].sort((left, right) => left.load.readBacklog - right.load.readBacklog);
+    const soonest = [...members].sort((left, right) => readWait(left.load) - readWait(right.load));
     return soonest.slice(0, 1);
 };
 
+/** Time until all that is read now, and waits to be read, is done. */
+const readWait = (load: EndpointLoad): Milliseconds => load.passLeft + load.readBacklog;
+
 /** Memory in as few members as hold it, the first one included; undefined when all together don't. */
 const sharesOf = (members: readonly Member[], tokens: number): TeamShare[] | undefined => {
     const [first, ...others] = members;
@@ -174,9 +155,8 @@
 const firstEventOf = ({ engine }: TeamNeed, readers: readonly Member[], part: Milliseconds): Milliseconds => {
     let latest = 0;
     for (const { load } of readers) {
-        const running = load.writers > 0 ? passTime(engine, load.writers, load.contextTokens) : 0;
-        latest = Math.max(latest, running + load.readBacklog + part);
+        const pass = load.writers > 0 ? passTime(engine, load.writers, load.contextTokens) : 0;
+        latest = Math.max(latest, load.passLeft + load.readBacklog + part + pass);
     }
-    const { load } = readers[0]!;
-    return latest + passTime(engine, load.writers + 1, load.contextTokens);
+    return latest + engine.stepTime;
 };
--- a/src/ports/peerNewsPort.ts
+++ b/src/ports/peerNewsPort.ts
@@ -1,5 +1,5 @@
 /** What the core needs of the channel between entries: datagrams that may be lost, doubled, late or out of order. */
-import type { PlacedWork, WorkPart } from "../core/placement/loadView.js";
+import type { PlacedWork, WorkPart } from "../core/placement/engineBelief.js";
 import type { Milliseconds } from "../utils/clock.js";
 import type { StateChange, StateKind } from "./statePort.js";
 
--- /dev/null
+++ b/src/replay/simulatedEntries.ts
@@ -0,0 +1,129 @@
+/** Entries of a replay: the real decisions, with messages in simulated time in place of sockets. */
+import { EntryCore } from "../core/entryCore.js";
+import type { PeerIdentity, PeerNewsPort, PeerPacket } from "../ports/peerNewsPort.js";
+import { StateKind } from "../ports/statePort.js";
+import type { EndpointRecord, PlacementPolicy, RoutingConfiguration } from "../types/routing.js";
+import type { Clock, Milliseconds } from "../utils/clock.js";
+import type { PartLog } from "../utils/log.js";
+import type { Random } from "../utils/random.js";
+import type { SimulatedFleet } from "./simulatedFleet.js";
+
+/** A line that an entry logged. */
+export interface ReplayLine {
+    /** Milliseconds since the start. */
+    time: Milliseconds;
+    entry: string;
+    message: string;
+    fields: Record<string, unknown>;
+}
+
+/** What the entries of a replay have in common. */
+export interface SimulatedEntriesParts {
+    clock: Clock;
+    random: Random;
+    fleet: SimulatedFleet;
+    count: number;
+    dataCentres: number;
+    policy: PlacementPolicy;
+    /** Whether entries tell one another what they place. */
+    shared: boolean;
+    /** One way between two instances, and the part of the datagrams that is lost. */
+    delay: Milliseconds;
+    loss: number;
+    lines: ReplayLine[];
+}
+
+const repeatLimits = { share: 0.2, window: 10_000, extra: 100 };
+const coldLimits = { factor: 1.5, extra: 5 };
+
+/** The entries. */
+export class SimulatedEntries {
+    readonly entries: readonly EntryCore[];
+    private readonly byAddress = new Map<string, EntryCore>();
+    private revision = 0;
+
+    constructor(private readonly parts: SimulatedEntriesParts) {
+        const identities = [...Array(parts.count).keys()].map(index => ({
+            id: `entry-${index}`,
+            address: `10.1.0.${index}:7000`,
+            incarnation: "1",
+        }));
+        this.entries = identities.map((self, index) => this.start(self, `centre-${index % parts.dataCentres}`));
+        for (const entry of this.entries) {
+            entry.peers.listed(identities);
+            void entry.peers.sayAlive(new AbortController().signal);
+        }
+    }
+
+    /** Datagrams that were sent, over all entries. */
+    sent = 0;
+
+    /** Puts a configuration in force everywhere. */
+    configure(configuration: RoutingConfiguration): void {
+        for (const { configuration: active } of this.entries) {
+            active.adopt(configuration);
+        }
+    }
+
+    /** All entries learn of these endpoints. */
+    list(records: readonly EndpointRecord[]): void {
+        const revision = ++this.revision;
+        const items = records.map(record => ({ name: record.id, revision, value: record }));
+        for (const { directory } of this.entries) {
+            directory.replace({ revision, items }, false);
+        }
+    }
+
+    /** Operators take a data centre out, or back. */
+    setOut(dataCentre: string, out: boolean): void {
+        const revision = ++this.revision;
+        const change = { name: dataCentre, revision, value: true as const, removed: !out };
+        for (const { directory } of this.entries) {
+            directory.out.apply({ revision, changes: [change] }, false);
+        }
+    }
+
+    private start(self: PeerIdentity, dataCentre: string): EntryCore {
+        const { clock, random, fleet, policy, shared } = this.parts;
+        const entry = new EntryCore({
+            clock,
+            random,
+            log: part => this.partLog(self.id, part),
+            self,
+            dataCentre,
+            channel: this.channel(),
+            endpoints: fleet,
+            memory: fleet,
+            policy,
+            sharesLoads: shared,
+            repeatLimits: () => repeatLimits,
+            coldLimits: () => coldLimits,
+            known: () => ({ [StateKind.Endpoints]: this.revision }),
+            reads: () => true,
+            stop: () => undefined,
+        });
+        this.byAddress.set(self.address, entry);
+        return entry;
+    }
+
+    private channel(): PeerNewsPort {
+        const { clock, random, delay, loss } = this.parts;
+        return {
+            send: (addresses: readonly string[], packet: PeerPacket) => {
+                for (const address of addresses) {
+                    this.sent++;
+                    if (random.next() >= loss) {
+                        clock.after(delay, () => this.byAddress.get(address)?.peers.hear(packet));
+                    }
+                }
+            },
+        };
+    }
+
+    private partLog(entry: string, part: string): PartLog {
+        const take = (message: string, fields: Record<string, unknown> = {}) => {
+            this.parts.lines.push({ time: this.parts.clock.now(), entry, message: `${part}: ${message}`, fields });
+        };
+        return { info: take, warn: take, error: take };
+    }
+}
--- a/src/standins/passEngineModel.ts
+++ b/src/standins/passEngineModel.ts
@@ -176,6 +176,7 @@
         this.reservations.clear();
         for (const entry of own) {
             owners.delete(entry);
+            this.dropParts(entry);
             entry.fail(new EngineCutError("the engine died"));
         }
         for (const owner of owners) {
@@ -214,11 +215,16 @@
     private drop(entry: Running): void {
         this.waiting = this.waiting.filter(other => other !== entry);
         this.running = this.running.filter(other => other !== entry);
+        this.dropParts(entry);
+        this.grant();
+        entry.fail(new EngineCutError("cancelled"));
+    }
+
+    /** Nobody reads on for a request that is over. */
+    private dropParts(entry: Running): void {
         for (const engine of [this, ...entry.helpers.map(helper => helper.engine)]) {
             engine.parts = engine.parts.filter(({ owner }) => owner !== entry);
         }
-        this.grant();
-        entry.fail(new EngineCutError("cancelled"));
     }
 
     private wake(): void {
