--- a/__performance_tests__/start.js
+++ b/__performance_tests__/start.js
@@ -37,7 +37,8 @@
         .replace("{{listen.control}}", `127.0.0.1:${port + 2}`)
         .replace("{{ip}}:{{port_range.1}}", `127.0.0.1:${port + 3}`)
         .replace(/\{\{node_name\}\}|\{\{zone\}\}/g, "bench")
-        .replace(/\{\{bounds[^}]*\}\}/g, "1");
+        .replace(/\{\{bounds[^}]*\}\}/g, "1")
+        .replace(/\{\{(seeds|bootstrap)\}\}/g, "");
 
 const isReady = port =>
     new Promise(resolve => {
--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -397,6 +397,17 @@
     expect(fixture.readWait("e-0")).toBe(1_500);
 });
 
+test("part of a prompt that was given up holds nobody up", () => {
+    // The endpoint that was to answer a long prompt has died, and those that read for it stop. Believed to read on for seconds,
+    // they would get nothing just when a third of the endpoints is missing.
+    const fixture = new Fixture(1);
+    const need = fixture.need(300_000);
+    fixture.loads.place(fixture.work("e-0", "long", need, 5_000, WorkPart.Read));
+    fixture.time = 1_000;
+    fixture.loads.end("e-0", "long");
+    expect(fixture.readWait("e-0")).toBe(0);
+});
+
 test("parts are done when their prompt is written", () => {
     const fixture = new Fixture(2);
     const need = fixture.need(300_000);
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -37,7 +37,7 @@
 /** Where the whole site starts for the first time nobody waits for it, and calls to the store can be spared. */
 const firstStartPatience: Milliseconds = 2_000;
 /** Otherwise callers wait; entries that live answer within a few milliseconds. */
-const restartPatience: Milliseconds = 60;
+const restartPatience: Milliseconds = 20;
 
 /** Entries that a starting one asks for the work in progress, and how long it waits for each; some may be gone. */
 const loadsAskedAtMost = 3;
@@ -289,11 +289,14 @@
 
     private async learnLoadsOnceMet(): Promise<void> {
         const { clock } = this.parts;
+        const { signal } = this.ending;
         const until = clock.now() + loadsLearnedWithin;
-        while (this.core.peers.living === 1 && clock.now() < until) {
-            await clock.sleep(loadsLook, this.ending.signal);
+        while (this.core.peers.living === 1 && clock.now() < until && !signal.aborted) {
+            await clock.sleep(loadsLook, signal);
+        }
+        if (!signal.aborted) {
+            await this.learnLoads();
         }
-        await this.learnLoads();
     }
 
     private gauges(): Record<string, number> {
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -91,6 +91,7 @@
             metrics: this.metrics,
             entry: self.id,
             dataCentre,
+            reads: parts.reads,
             stop: parts.stop,
             sayUnreachable: endpoint => this.peers.sayUnreachable(endpoint),
         });
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -1,10 +1,14 @@
 /** Forwards callers' requests: one task a request, from its head to the last byte of its answer. */
 import type { CallerExchange } from "../../ports/forwardingPorts.js";
+import type { Milliseconds } from "../../utils/clock.js";
 import { Execution, FailureKind, RequestFailure } from "../failures.js";
 import { admit } from "./admission.js";
 import type { ForwardingParts } from "./forwardingParts.js";
 import { RequestTask } from "./requestTask.js";
 
+/** How long a request waits in a process that is about to know its configuration, and how often it looks. */
+const readyWithin: Milliseconds = 300;
+const readyLook: Milliseconds = 5;
 /** When to come back before the first list of endpoints is read. */
 const notListedRetrySeconds = 0.5;
 
@@ -45,6 +49,7 @@
 
     private async forward(exchange: CallerExchange): Promise<void> {
         const { configuration, directory, random, repeats, metrics } = this.parts;
+        await this.untilReady(exchange);
         const admission = admit(exchange.head, configuration.routes, random);
         if (!directory.ready) {
             const detail = "this entry has not learned its endpoints yet";
@@ -57,6 +62,18 @@
         await new RequestTask(this.parts, exchange, { ...exchange.head, body }, admission).run();
     }
 
+    /**
+     * A process that has just started knows within milliseconds what to do with a request, unless the store is away. Callers
+     * that are let in already would lose their first try to a refusal.
+     */
+    private async untilReady(exchange: CallerExchange): Promise<void> {
+        const { clock, reads } = this.parts;
+        const until = clock.now() + readyWithin;
+        while (!this.ready && reads() && clock.now() < until && !exchange.left.aborted) {
+            await clock.sleep(readyLook);
+        }
+    }
+
     private fail(exchange: CallerExchange, error: unknown): void {
         if (exchange.left.aborted) {
             this.parts.metrics.count("callers_left_total");
--- a/src/core/forwarding/forwardingParts.ts
+++ b/src/core/forwarding/forwardingParts.ts
@@ -38,6 +38,8 @@
     /** Name of this entry, and its data centre. */
     entry: string;
     dataCentre: string;
+    /** Whether the store answers this entry. */
+    reads: () => boolean;
     /** Undefined while this entry isn't stopping. */
     stop: () => PlannedStop | undefined;
     /** Tells the other entries that nobody listens at an endpoint's address. */
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -36,6 +36,8 @@
 const memoryPauseAtLeast: Milliseconds = 50;
 const memoryPauseSpread: Milliseconds = 150;
 const firstFailureStatus = 500;
+/** A prompt that is larger than an engine's memory, and lacks it for longer, would not be read any more. */
+const memoryPatience: Milliseconds = 1_500;
 /** An endpoint that is busy for longer than a few passes has a reason to be silent. */
 const quietAtMost: Milliseconds = 200;
 /** Factor on the prediction of a first event that was put off: predictions are off while much is asked for. */
@@ -91,8 +93,8 @@
         for (;;) {
             this.checkTime();
             const placement = this.choose();
-            if (placement.postponed && this.canWait(placement)) {
-                await this.postpone(placement);
+            if (!placement || (placement.postponed && this.canWait(placement))) {
+                await this.postpone(placement?.firstEvent);
                 continue;
             }
             const outcome = await this.send(placement);
@@ -142,13 +144,13 @@
         return postponedCaution * firstEvent + memoryPauseAtLeast + memoryPauseSpread < this.patienceLeft;
     }
 
-    private async postpone({ firstEvent }: Placement): Promise<void> {
+    private async postpone(firstEvent: Milliseconds | undefined): Promise<void> {
         if (!this.wasPostponed) {
             this.wasPostponed = true;
             this.parts.metrics.count("postponed_total");
             this.note("Postponed.", undefined, {
                 promptTokens: this.request.size?.promptTokens,
-                predicted: Math.round(firstEvent),
+                predicted: firstEvent && Math.round(firstEvent),
             });
         }
         await this.pauseForMemory();
@@ -278,13 +280,17 @@
         return this.parts.placer.place(need, candidates);
     }
 
-    private choose(): Placement {
+    /** Undefined where all endpoints together lack the memory now, and some of it may be free soon. */
+    private choose(): Placement | undefined {
         const { service } = this.admission;
         const placement = this.place();
         if (!placement && this.attempts.lacking.size > 0 && !this.ending.signal.aborted) {
             this.attempts.forgetLacking();
             return this.choose();
         }
+        if (!placement && this.mayFindMemory()) {
+            return undefined;
+        }
         if (!placement) {
             const detail = `no endpoint of ${service.name} may get work`;
             throw this.failure(FailureKind.NoEndpoint, detail, noEndpointRetrySeconds);
@@ -293,6 +299,15 @@
         return placement;
     }
 
+    private mayFindMemory(): boolean {
+        const { engine } = this.admission.service;
+        const { promptTokens = 0, answerTokensAtMost = 0 } = this.request.size ?? {};
+        const candidates = this.candidates().filter(({ record }) => !this.attempts.refused.has(record.id));
+        return engine !== undefined && promptTokens + answerTokensAtMost > engine.memoryTokens
+            && promptTokens + answerTokensAtMost <= engine.memoryTokens * candidates.length
+            && this.patienceLeft > memoryPatience;
+    }
+
     private candidates(): readonly KnownEndpoint[] {
         const { directory, cold, clock } = this.parts;
         const { service } = this.admission;
--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -1,13 +1,21 @@
 /** Counts and histograms of one entry, in the text format that metric collectors read. */
-import { build, type Histogram } from "hdr-histogram-js";
+// The package's own entry also loads its codecs and number formats, a tenth of the time to start.
+import histogramModule from "hdr-histogram-js/dist/Int32Histogram.js";
 import type { Milliseconds } from "../utils/clock.js";
 
 /** Longer durations count as this long: an hour. */
 const highestMilliseconds = 3_600_000;
 const quantiles = [50, 95, 99];
+/** Of each duration that is kept. */
+const significantDigits = 2;
 
-const newHistogram = (): Histogram =>
-    build({ lowestDiscernibleValue: 1, highestTrackableValue: highestMilliseconds, numberOfSignificantValueDigits: 2 });
+type HistogramClass = typeof histogramModule.default;
+type Histogram = InstanceType<HistogramClass>;
+/** Node gives the module where bundlers give what it exports as its default. */
+const loaded = histogramModule as { default?: HistogramClass; };
+const Histogram = loaded.default ?? loaded as HistogramClass;
+
+const newHistogram = (): Histogram => new Histogram(1, highestMilliseconds, significantDigits);
 
 const keyOf = (name: string, labels: string): string => labels === "" ? name : `${name}{${labels}}`;
 
--- a/src/core/placement/engineBelief.ts
+++ b/src/core/placement/engineBelief.ts
@@ -89,10 +89,16 @@
         this.advance(now);
     }
 
-    /** Work is over, or was taken back. */
+    /** Work is over, or was taken back; what is being read for it is broken off. */
     remove(id: string, now: Milliseconds): void {
         this.advance(now);
         this.works.delete(id);
+        const read = this.reads.find(({ work }) => work.id === id);
+        if (read) {
+            this.reads = this.reads.filter(other => other !== read);
+            this.passEnds = Math.max(now, this.passEnds - read.time);
+            this.advance(now);
+        }
     }
 
     /** The request writes, so what was read for it here is done, and the pass that read it is over. */
