Replay of load patterns, losses from logs, and what the tests of membership found

dandelionramp-load replay plays a pattern through the real decisions in simulated time (report, baselines, picture); dandelionramp losses tells from logs which requests lost what, when and why.

The line of a configuration in force no longer overwrites the field that names its entry.

--- a/__tests__/commands.test.ts
+++ b/__tests__/commands.test.ts
@@ -1,6 +1,6 @@
 /** The programs as a shell sees them: exit codes, one line for each fault, help with examples. */
 import { spawnSync } from "node:child_process";
-import { writeFileSync } from "node:fs";
+import { readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -32,6 +32,44 @@
     expect(stderr).toContain("--mix: expected tokens:weight");
 });
 
+test("faulty pattern ends with 2 and names file, section and field", () => {
+    const pattern = readFileSync(
+        fileURLToPath(new URL("../examples/patterns/callers-press.ini", import.meta.url)),
+        "utf8",
+    );
+    const file = join(tmpdir(), "dandelionramp-pattern.ini");
+    const outcome = (from: string, to: string) => {
+        writeFileSync(file, pattern.replace(from, to));
+        const { status, stderr } = run("dandelionramp-load", "replay", file);
+        expect(status).toBe(2);
+        expect(stderr.trim().split("\n")).toHaveLength(1);
+        return stderr;
+    };
+    expect(outcome("rate = 34.3", "rate = many")).toContain(
+        `${file}: [kind.short] rate: expected a number of at least 0`,
+    );
+    expect(outcome("kind = short", "kind = none")).toContain("[burst.press] kind: expected one of short, middle, long");
+    expect(outcome("[engines]", "[motors]")).toContain(file);
+});
+
+test("replay reports by kind and reason, the same each time", () => {
+    const file = fileURLToPath(new URL("../examples/patterns/callers-press.ini", import.meta.url));
+    const plot = join(tmpdir(), "dandelionramp-replay.svg");
+    const first = run("dandelionramp-load", "replay", file, "--baseline", "leastOutstanding", "--plot", plot);
+    expect(first.status).toBe(0);
+    expect(first.stdout).toMatch(/short: \d+ requests, \d+ in time/);
+    expect(first.stdout).toContain("leastOutstanding:");
+    expect(readFileSync(plot, "utf8")).toContain("<svg");
+    const again = run("dandelionramp-load", "replay", file, "--baseline", "leastOutstanding");
+    expect(again.stdout).toBe(first.stdout);
+});
+
+test("losses of logs that aren't there", () => {
+    const { status, stderr } = run("dandelionramp", "losses", "nowhere.log");
+    expect(status).toBe(2);
+    expect(stderr).toContain("the logs can't be read");
+});
+
 test("an operator's command to nobody fails", () => {
     const { status, stderr } = run("dandelionramp", "status", "--entry", "127.0.0.1:1");
     expect(status).toBe(1);
--- a/__tests__/forwarding/configuration.test.ts
+++ b/__tests__/forwarding/configuration.test.ts
@@ -72,6 +72,65 @@
     await until(() => entry.configuration.version === 2);
 });
 
+test("request that comes before the configuration waits for it", async () => {
+    // All entries have lost their power and are started again, and callers come back at once. A few milliseconds before an
+    // entry knows its configuration it would refuse them, and each would have lost its first try.
+    const entry = await site.start("entry-1", false, { delay: 150 });
+    expect(entry.entry.ready).toBe(false);
+    expect((await call(entry.callers, "/lookups/a")).status).toBe(200);
+});
+
+test("request that comes while the store is away is refused at once", async () => {
+    const entry = await site.start("entry-1", false, { refusal: Refusal.Busy });
+    await systemClock.sleep(100);
+    const answer = await call(entry.callers, "/lookups/a");
+    expect(answer.status).toBe(503);
+    expect(answer.took).toBeLessThan(250);
+});
+
+test("entry that others are named for learns from them", async () => {
+    // Ninety entries start together. If each read the store for itself, the start alone would cost a thousand calls.
+    const first = await site.start("entry-1");
+    const later = await Promise.all(
+        ["entry-2", "entry-3", "entry-4", "entry-5", "entry-6"].map(id =>
+            site.start(id, true, { seeds: [first.peers], firstStart: true })
+        ),
+    );
+    for (const { entry, door } of later) {
+        expect(entry.configuration.version).toBe(1);
+        // Some of them watch the store for all; none has listed anything.
+        expect(door.calls).toBeLessThanOrEqual(3);
+    }
+});
+
+test("large configuration goes packed from entry to entry", async () => {
+    // A thousand routes take a thin link for a fifth of a second. One entry is asked for them by a dozen others at once, and
+    // the last of these would serve by the old configuration for seconds.
+    const routes = Array.from({ length: 1_000 }, (...[, index]) => ({
+        name: `route-${index}`,
+        hostname: "desk.example",
+        path_prefix: `/route-${index}/`,
+        kind: "idempotent",
+        timeout_ms: 1_000,
+        target_latency_ms: 300,
+        service: "bookings",
+    }));
+    site.store.model.put("config", "main", { ...operatorConfiguration(2), routes });
+    const first = await site.start("entry-1");
+    const question = {
+        jsonrpc: "2.0",
+        id: 0,
+        method: "stateSince",
+        params: { format: 1, kind: "configuration", revision: -1 },
+    };
+    const answer = await fetch(`http://${first.peers}/`, { method: "POST", body: JSON.stringify(question) });
+    expect(answer.headers.get("content-encoding")).toBe("gzip");
+    expect(Number(answer.headers.get("content-length"))).toBeLessThan(40_000);
+    expect(JSON.parse(await answer.text()).result.items[0].value.routes).toHaveLength(1_000);
+    const second = await site.start("entry-2", true, { seeds: [first.peers], firstStart: true });
+    expect(second.entry.configuration.routes!.configuration.routes).toHaveLength(1_000);
+});
+
 test("store down at the start", async () => {
     const started = site.start("entry-1", false);
     site.entries.forEach(({ door }) => door.refusal = Refusal.Busy);
--- a/__tests__/forwarding/membership.test.ts
+++ b/__tests__/forwarding/membership.test.ts
@@ -101,6 +101,7 @@
         id: `e-${index}`,
         address: `10.0.0.${index}:1`,
         dataCentre: `z-${index % 3}`,
+        fresh: true,
     }));
 
 for (const count of [1, 6, 13, 14, 62, 85, 330]) {
--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -48,11 +48,13 @@
     readonly loads = new LoadView(this.clock, () => engine);
     readonly shared = new SharedLoads(this.loads, this.clock);
     readonly failures = new FailureView(this.clock);
-    readonly placer = new Placer(this.shared, this.failures, seededRandom(1));
+    readonly placer: Placer;
     readonly endpoints: KnownEndpoint[];
     private next = 0;
 
-    constructor(count: number) {
+    constructor(count: number, seed = 1) {
+        this.placer = new Placer(this.shared, this.failures, seededRandom(seed));
+        this.shared.serviceOf = () => "models";
         this.endpoints = [...Array(count).keys()].map(index => ({
             record: {
                 id: `e-${index}`,
@@ -161,7 +163,7 @@
 });
 
 test("short prompts are packed", () => {
-    // Forty replies at once fit on few endpoints; the others stay free for the next season file.
+    // Forty replies at once fit on four endpoints of eleven slots; the others stay free for the next season file.
     const fixture = new Fixture(20);
     const used = new Set<string>();
     for (let index = 0; index < 40; index++) {
@@ -170,7 +172,7 @@
         fixture.time += 30;
         fixture.loads.writes(id, work);
     }
-    expect(used.size).toBeLessThanOrEqual(10);
+    expect(used.size).toBeLessThanOrEqual(5);
 });
 
 test("short prompts that come together are spread", () => {
@@ -279,6 +281,16 @@
     expect(fixture.failures.suspects("a")).toBe(false);
 });
 
+test("silent endpoints are no reason to pass over the others", () => {
+    // Much is asked for, and three endpoints of a data centre say nothing for a second. Passed over, all its others would leave
+    // the rest with half as much again.
+    const fixture = new Fixture(12);
+    for (const endpoint of fixture.endpoints.filter(({ record }) => record.dataCentre === "a").slice(0, 3)) {
+        fixture.failures.silent(endpoint);
+    }
+    expect(fixture.failures.suspects("a")).toBe(false);
+});
+
 test("endpoints lost here and there are no reason to pass over the others", () => {
     const fixture = new Fixture(12);
     for (const endpoint of fixture.endpoints.slice(0, 4)) {
@@ -402,10 +414,13 @@
     // they would get nothing just when a third of the endpoints is missing.
     const fixture = new Fixture(1);
     const need = fixture.need(300_000);
+    fixture.loads.place(fixture.work("e-0", "writer", need, 0));
+    fixture.loads.writes("e-0", "writer");
     fixture.loads.place(fixture.work("e-0", "long", need, 5_000, WorkPart.Read));
     fixture.time = 1_000;
+    expect(fixture.readWait("e-0")).toBeGreaterThan(3_000);
     fixture.loads.end("e-0", "long");
-    expect(fixture.readWait("e-0")).toBe(0);
+    expect(fixture.readWait("e-0")).toBeLessThan(100);
 });
 
 test("parts are done when their prompt is written", () => {
@@ -432,3 +447,66 @@
         fixture.placer.place(fixture.need(5_000, { service, answerTokens }), fixture.endpoints)!.firstEvent;
     expect(firstEvent(4_800)).toBe(firstEvent(1_600));
 });
+
+test("endpoint whose oldest request is overdue is passed over", () => {
+    // An endpoint stalls with one request. It looks as idle as ever, and as others write there it would get all short prompts
+    // until the first of them is given up.
+    const fixture = new Fixture(3);
+    const need = fixture.need(5_000);
+    fixture.loads.place({ ...fixture.work("e-0", "stalled", need, 20), firstEventIn: 100 });
+    for (const writer of ["a", "b", "c"]) {
+        fixture.loads.place(fixture.work("e-0", writer, need, 0));
+    }
+    fixture.time = 1_000;
+    expect(fixture.loads.load("e-0").overdue).toBe(900);
+    expect(fixture.place(5_000).id).not.toBe("e-0");
+});
+
+test("entries that can't know of one another's placement choose different endpoints", () => {
+    // Forty entries have the same belief, and news takes twenty milliseconds. In that time two or three more requests come to
+    // each endpoint that all of them like best.
+    const chosen = [...Array(20).keys()].map(entry => {
+        const fixture = new Fixture(40, entry);
+        for (let placement = 0; placement < 200; placement++) {
+            fixture.shared.hear({
+                type: "Placed",
+                works: [fixture.work("gone", `w-${placement}`, fixture.need(10), 0)],
+            });
+        }
+        fixture.shared.newsDelay = () => 20;
+        return fixture.place(5_000).id;
+    });
+    expect(new Set(chosen).size).toBeGreaterThan(10);
+});
+
+/** A prompt that can't be in time any more, and takes an engine twenty seconds. */
+const doomed = (fixture: Fixture) => fixture.need(400_000, { targetLeft: -3_000 });
+
+test("prompt that is late anyway waits while its engines are worth more to others", () => {
+    // Twice as many short prompts come as the endpoints can write. The engine time of one prompt that is late anyway would make
+    // a hundred of them late too.
+    const fixture = new Fixture(6);
+    expect(fixture.placer.place(doomed(fixture), fixture.endpoints)!.postponed).toBe(false);
+    for (let request = 0; request < 120; request++) {
+        fixture.shared.demand.note("models", 25, valueOf(5_000));
+        fixture.time += 10;
+    }
+    expect(fixture.placer.place(doomed(fixture), fixture.endpoints)!.postponed).toBe(true);
+    fixture.time += 3_000;
+    expect(fixture.placer.place(doomed(fixture), fixture.endpoints)!.postponed).toBe(false);
+});
+
+test("no part beside writers whose callers would give up", () => {
+    // A pause of two seconds isn't just late: callers leave. Ten answers that never end are worth more than one long prompt that
+    // is in time.
+    const fixture = new Fixture(2);
+    const need = fixture.need(4_000);
+    for (let writer = 0; writer < 10; writer++) {
+        fixture.loads.place(fixture.work("e-0", `w-${writer}`, need, 0));
+        fixture.loads.writes("e-0", `w-${writer}`);
+    }
+    fixture.time += 100;
+    const long = fixture.need(260_000, { targetLeft: 2_500 });
+    const { endpoint, helpers } = fixture.placer.place(long, fixture.endpoints)!;
+    expect([endpoint, ...helpers].map(({ record }) => record.id)).toEqual(["e-1"]);
+});
--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -109,6 +109,8 @@
 export interface StartOptions {
     /** How the store turns it away from the start. */
     refusal?: Refusal;
+    /** How late the store answers it, in milliseconds. */
+    delay?: number;
     /** Where it takes the other entries' messages. */
     peers?: string;
     /** Entries that its settings name. */
@@ -167,6 +169,7 @@
     async start(id: string, wait = true, options: StartOptions = {}): Promise<SiteEntry> {
         const door = await this.store.door();
         door.refusal = options.refusal ?? Refusal.None;
+        door.delay = options.delay ?? 0;
         const settings: ForwardingSettings = {
             instance: { id, dataCentre: "north-a" },
             listen: {
--- /dev/null
+++ b/__tests__/losses.test.ts
@@ -0,0 +1,96 @@
+/** What requests lost, from the entries' lines alone. */
+import { writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { expect, test } from "vitest";
+import { readLogs } from "../src/losses/logFiles.js";
+import { lossesOf, LossReason } from "../src/losses/reasons.js";
+import { type LogLine, storiesOf } from "../src/losses/stories.js";
+import { lossTable, lossText } from "../src/losses/table.js";
+
+const line = (time: number, message: string, fields: Record<string, unknown>): LogLine => ({
+    time,
+    entry: "entry-1",
+    message: `request: ${message}`,
+    fields: { requestId: "r", ...fields },
+});
+
+const sent = (time: number, fields: Record<string, unknown> = {}): LogLine =>
+    line(time, "Sent.", {
+        endpoint: "e-1",
+        elapsed: time,
+        target: 300,
+        targetGap: 250,
+        promptTokens: 5_000,
+        predicted: 100,
+        slotWait: 0,
+        readWait: 20,
+        ...fields,
+    });
+
+const streamed = (firstEventAfter: number, longestPause = 50, fields: Record<string, unknown> = {}): LogLine =>
+    line(firstEventAfter + 1_000, "Streamed.", { firstEventAfter, longestPause, ...fields });
+
+const reasonOf = (...lines: LogLine[]): LossReason | undefined => lossesOf(storiesOf(lines))[0]?.reason;
+
+test("answer in time lost nothing", () => {
+    expect(reasonOf(sent(0), streamed(200))).toBeUndefined();
+});
+
+test("late first event, by what was predicted", () => {
+    expect(reasonOf(sent(0, { predicted: 900, slotWait: 700 }), streamed(900))).toBe(LossReason.Slot);
+    expect(reasonOf(sent(0, { predicted: 900, readWait: 700 }), streamed(900))).toBe(LossReason.Reads);
+    expect(reasonOf(sent(0, { predicted: 900 }), streamed(900))).toBe(LossReason.OwnRead);
+    expect(reasonOf(sent(0), streamed(900))).toBe(LossReason.Unforeseen);
+});
+
+test("late behind a long read that wasn't foreseen", () => {
+    const long = { requestId: "long", promptTokens: 200_000, endpoint: "e-2", helpers: ["e-1"], predicted: 2_000 };
+    const lines = [sent(0, long), streamed(2_000, 50, { requestId: "long" }), sent(100), streamed(900)];
+    const losses = lossesOf(storiesOf(lines)).filter(({ story }) => story.id === "r");
+    expect(losses.map(({ reason }) => reason)).toEqual([LossReason.UnforeseenReads]);
+});
+
+test("pauses, repeats, memory and refusals", () => {
+    expect(reasonOf(sent(0), streamed(200, 400))).toBe(LossReason.Pause);
+    expect(reasonOf(sent(0), sent(500), streamed(200, 400))).toBe(LossReason.PauseAfterLoss);
+    expect(reasonOf(sent(0), sent(500), streamed(900))).toBe(LossReason.Lost);
+    expect(reasonOf(line(0, "Memory can't be set aside.", {}), sent(500), streamed(900))).toBe(LossReason.Memory);
+    expect(reasonOf(line(0, "A request failed.", { kind: "overloaded" }))).toBe(LossReason.Refused);
+    expect(reasonOf(line(0, "A request failed.", { kind: "no-endpoint" }))).toBe(LossReason.NoEndpoint);
+    expect(reasonOf(sent(0))).toBe(LossReason.EntryEnded);
+});
+
+test("faults of callers aren't losses", () => {
+    expect(storiesOf([line(0, "A request failed.", { kind: "unknown-route" })])).toEqual([]);
+});
+
+test("table adds up by reason and by time", () => {
+    const at = (time: number, id: string) => [
+        { ...sent(0, { requestId: id }), time },
+        { ...streamed(900, 50, { requestId: id }), time: time + 1_900 },
+    ];
+    const table = lossTable(storiesOf([...at(0, "a"), ...at(100, "b"), ...at(5_000, "c")]), 2_000);
+    expect(table.requests).toBe(3);
+    expect(table.reasons).toEqual([{ reason: LossReason.Unforeseen, requests: 3, share: 0.75 }]);
+    expect(table.spans.map(({ from }) => from)).toEqual([0, 4_000]);
+    expect(lossText(table)).toContain("75.0%     3 later than predicted");
+});
+
+test("logs of several entries, with lines that are none of theirs", () => {
+    const file = path.join(tmpdir(), `dandelionramp-losses-${process.pid}.log`);
+    const written = (msg: string, time: string, fields: object = {}) =>
+        JSON.stringify({ instance: "entry-1", msg, time, ...fields });
+    writeFileSync(
+        file,
+        [
+            `12.5 edge-1 ${written("request: Sent.", "2026-01-01T00:00:01.000Z", { requestId: "r" })}`,
+            written("log: Lines were dropped.", "2026-01-01T00:00:00.500Z", { lines: 7 }),
+            "no line of an entry",
+            "{ broken",
+        ].join("\n"),
+    );
+    const { lines, skipped, dropped } = readLogs([file]);
+    expect(lines.map(({ time }) => time)).toEqual([0, 500]);
+    expect({ skipped, dropped }).toEqual({ skipped: 2, dropped: 7 });
+});
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -334,7 +334,8 @@
         ) => {
             for (const { name, revision, value } of items) {
                 if (value && this.configuration.adopt(value)) {
-                    this.log.info("A configuration is in force.", { name, revision, version: value.version });
+                    // bunyan's own field `name` says which entry wrote the line.
+                    this.log.info("A configuration is in force.", { object: name, revision, version: value.version });
                 }
             }
         };
--- a/src/adapters/forwarding/peerStateServer.ts
+++ b/src/adapters/forwarding/peerStateServer.ts
@@ -107,7 +107,9 @@
                 return;
             }
             const bytes = packed.pack(question, knowledge.stamp(), answer);
-            response.writeHead(200, { ...headers, "content-encoding": "gzip" }).end(bytes);
+            response.writeHead(200, { ...headers, "content-encoding": "gzip", "content-length": bytes.length }).end(
+                bytes,
+            );
         }
         catch (error) {
             log.warn("An entry's question can't be read.", { reason: describeError(error) });
--- a/src/commands/operator/index.ts
+++ b/src/commands/operator/index.ts
@@ -2,6 +2,7 @@
 import { Args, Flags } from "@oclif/core";
 import { readFileSync } from "node:fs";
 import { configurationKinds, describeError, exchangeJson, JsonAnswer, SettingsError } from "../../internal.js";
+import LossesCommand from "../losses.js";
 import { ProgramCommand, usageExitCode } from "../program.js";
 
 const defaultAddress = "127.0.0.1:8280";
@@ -247,6 +248,7 @@
 
 /** The commands by name. */
 export const commands = {
+    losses: LossesCommand,
     status: StatusCommand,
     list: ListCommand,
     show: ShowCommand,
--- /dev/null
+++ b/src/commands/replay.ts
@@ -0,0 +1,78 @@
+/** `dandelionramp-load replay`: a load pattern through the decisions of entries, in simulated time. */
+import { Args, Flags } from "@oclif/core";
+import { writeFileSync } from "node:fs";
+import path from "node:path";
+import { readPattern } from "../replay/pattern.js";
+import { replay, type ReplayOptions, type ReplayResult } from "../replay/replay.js";
+import { replaySvg } from "../replay/replayPlot.js";
+import { replayReport, replayText } from "../replay/replayReport.js";
+import { PlacementPolicy } from "../types/routing.js";
+import { ProgramCommand } from "./program.js";
+
+/** What a replay is compared with. */
+enum Baseline {
+    LeastOutstanding = "leastOutstanding",
+    /** Entries don't tell one another what they place. */
+    OwnView = "ownView",
+}
+
+const optionsOf = (baseline: Baseline): Partial<ReplayOptions> => {
+    switch (baseline) {
+        case Baseline.LeastOutstanding:
+            return { policy: PlacementPolicy.LeastOutstanding };
+        case Baseline.OwnView:
+            return { shared: false };
+    }
+};
+
+/** Plays a pattern and reports. The same seeds give the same report. */
+export default class ReplayCommand extends ProgramCommand {
+    static override description =
+        "Play a load pattern through the real decisions of entries, in simulated time, without sockets.";
+    static override examples = [
+        "<%= config.bin %> replay examples/patterns/turning-mix.ini --seeds 5",
+        "<%= config.bin %> replay examples/patterns/endpoints-lost.ini --baseline leastOutstanding --plot lost.svg",
+    ];
+    static override args = { pattern: Args.string({ description: "pattern file in INI", required: true }) };
+    static override flags = {
+        seeds: Flags.integer({ description: "number of seeds to play", default: 1, min: 1 }),
+        seed: Flags.integer({ description: "the first seed", default: 1, min: 0 }),
+        entries: Flags.integer({ description: "number of entries, in place of the pattern's", min: 1 }),
+        baseline: Flags.option({
+            options: Object.values(Baseline),
+            description: "also play a simpler way to decide, for comparison",
+        })(),
+        plot: Flags.string({ description: "file for a picture of the first seed as SVG" }),
+        json: Flags.boolean({ description: "print JSON" }),
+    };
+
+    async run(): Promise<void> {
+        const { args, flags } = await this.parse(ReplayCommand);
+        const pattern = readPattern(args.pattern);
+        const play = async (changes: Partial<ReplayOptions>): Promise<ReplayResult[]> => {
+            const results: ReplayResult[] = [];
+            for (let index = 0; index < flags.seeds; index++) {
+                results.push(await replay(pattern, { seed: flags.seed + index, entries: flags.entries, ...changes }));
+            }
+            return results;
+        };
+        const results = await play({});
+        const report = replayReport(results);
+        const compared = flags.baseline && replayReport(await play(optionsOf(flags.baseline)));
+        if (flags.json) {
+            this.log(JSON.stringify({ report, baseline: compared }, undefined, 4));
+        }
+        else {
+            this.log(replayText(report));
+            if (compared) {
+                this.log(`\n${flags.baseline}:\n${replayText(compared)}`);
+            }
+        }
+        if (flags.plot !== undefined) {
+            writeFileSync(flags.plot, await replaySvg(path.basename(args.pattern, ".ini"), results[0]!));
+        }
+    }
+}
+
+/** The commands of `dandelionramp-load` beside its main one. */
+export const commands = { replay: ReplayCommand };
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -77,7 +77,8 @@
     private fail(exchange: CallerExchange, error: unknown): void {
         if (exchange.left.aborted) {
             this.parts.metrics.count("callers_left_total");
-            this.parts.log.info("The caller has left.", { requestId: exchange.head.id });
+            const elapsed = Math.round(this.parts.clock.now() - exchange.head.arrivedAt);
+            this.parts.log.info("The caller has left.", { requestId: exchange.head.id, elapsed });
             return;
         }
         const failure = error instanceof RequestFailure
@@ -86,6 +87,8 @@
         this.parts.metrics.count("failures_total", `kind="${failure.kind}"`);
         this.parts.log.warn("A request failed.", {
             requestId: exchange.head.id,
+            elapsed: Math.round(this.parts.clock.now() - exchange.head.arrivedAt),
+            promptTokens: exchange.head.size?.promptTokens,
             kind: failure.kind,
             execution: failure.execution,
             retryAfter: failure.retryAfterSeconds,
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -6,7 +6,7 @@
     Refusal,
     StreamEvent,
 } from "../../ports/forwardingPorts.js";
-import { RefusalReason, StreamBrokenError } from "../../ports/forwardingPorts.js";
+import { RefusalReason, StreamBrokenError, StreamSilentError } from "../../ports/forwardingPorts.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import { describeError } from "../../utils/errors.js";
 import { cancel } from "../../utils/signal.js";
@@ -126,9 +126,8 @@
                 this.settleRefusal(endpoint, outcome);
                 return false;
             case "Broken":
-                this.parts.failures.lost(endpoint);
-                attempts.noteBroken(id);
-                this.parts.metrics.count("endpoint_breaks_total");
+            case "Silent":
+                this.noteLost(endpoint, outcome.type === "Silent");
                 this.note("An endpoint broke off.", endpoint, { reason: outcome.reason });
                 this.sendAgainOrFail(FailureKind.OutcomeUnknown, `the endpoint broke off: ${outcome.reason}`);
                 return false;
@@ -161,6 +160,18 @@
         return clock.sleep(memoryPauseAtLeast + random.next() * memoryPauseSpread, this.ending.signal);
     }
 
+    private noteLost(endpoint: KnownEndpoint, silent: boolean): void {
+        const { failures, metrics } = this.parts;
+        if (silent) {
+            failures.silent(endpoint);
+        }
+        else {
+            failures.lost(endpoint);
+        }
+        this.attempts.noteBroken(endpoint.record.id);
+        metrics.count("endpoint_breaks_total");
+    }
+
     /** The others should not find out one by one that an endpoint has gone. */
     private noteUnreached(endpoint: KnownEndpoint, nobodyListens: boolean): void {
         const { failures, sayUnreachable } = this.parts;
@@ -239,9 +250,7 @@
         }
         catch (error) {
             this.checkTime();
-            this.parts.failures.lost(endpoint);
-            this.attempts.noteBroken(endpoint.record.id);
-            this.parts.metrics.count("endpoint_breaks_total");
+            this.noteLost(endpoint, error instanceof StreamSilentError);
             this.note("A stream broke off.", endpoint, {
                 lastEvent: this.relay.lastEvent,
                 reason: describeError(error),
@@ -328,20 +337,25 @@
     }
 
     private async send(placement: Placement): Promise<DispatchOutcome> {
-        const { endpoint, helpers, shares, firstEvent } = placement;
+        const { endpoint, helpers, shares, firstEvent, slotWait, readWait } = placement;
+        const { route } = this.admission;
         this.relay.predicted = this.parts.clock.now() - this.request.arrivedAt + firstEvent;
         this.attempts.begin();
         this.parts.metrics.count(this.attempts.tries > 1 ? "repeats_total" : "first_sends_total");
         this.note("Sent.", endpoint, {
-            route: this.admission.route.name,
+            route: route.name,
             version: this.admission.version,
+            target: route.targetLatency,
+            targetGap: route.targetGap,
             promptTokens: this.request.size?.promptTokens,
             helpers: helpers.length > 0 ? helpers.map(({ record }) => record.id) : undefined,
             reservations: shares.length,
             predicted: Math.round(firstEvent),
+            slotWait: Math.round(slotWait),
+            readWait: Math.round(readWait),
             timeLeft: Math.round(this.timeLeft),
         });
-        const patience = silentPart * patienceOf(this.admission.route);
+        const patience = silentPart * patienceOf(route);
         return await Sender.send(this.parts, {
             placement,
             request: this.request,
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -1,6 +1,6 @@
 /** Sends one request to one placement: notes the work, sets memory aside where needed, and watches for silence. */
 import type { EndpointOutcome, ForwardedRequest, StreamEvent } from "../../ports/forwardingPorts.js";
-import { StreamBrokenError } from "../../ports/forwardingPorts.js";
+import { StreamSilentError } from "../../ports/forwardingPorts.js";
 import { RequestKind } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import { cancel } from "../../utils/signal.js";
@@ -51,9 +51,13 @@
 /** What became of a try to send. */
 export type DispatchOutcome =
     | EndpointOutcome
+    /** It said nothing for so long that the request is sent elsewhere. */
+    | { type: "Silent"; reason: string; }
     /** These endpoints hadn't the memory that was to be set aside; nothing was sent. */
     | { type: "NoMemory"; lacking: string[]; };
 
+const silentFor = (limit: Milliseconds): string => `silent for ${Math.round(limit)} ms`;
+
 /** One try to send. */
 export class Sender {
     private readonly ending = new AbortController();
@@ -84,7 +88,7 @@
         const outcome = await this.untilSilent(this.order(), this.dispatch.silence.first);
         if (outcome === undefined) {
             this.end();
-            return { type: "Broken", reason: `silent for ${this.dispatch.silence.first} ms` };
+            return { type: "Silent", reason: silentFor(this.dispatch.silence.first) };
         }
         if (outcome.type === "Streaming") {
             return { ...outcome, events: this.watched(outcome.events) };
@@ -176,7 +180,7 @@
             for (;;) {
                 const next = await this.untilSilent(iterator.next(), limit);
                 if (next === undefined) {
-                    throw new StreamBrokenError(`silent for ${limit} ms`);
+                    throw new StreamSilentError(silentFor(limit));
                 }
                 if (next.done) {
                     return;
--- a/src/core/membership/fanOut.ts
+++ b/src/core/membership/fanOut.ts
@@ -20,13 +20,15 @@
     id: string;
     address: string;
     dataCentre: string;
+    /** Whether it can be relied on to pass something on. */
+    fresh: boolean;
 }
 
 /** The groups as one entry sees them, by address. */
 export interface Groups {
     /** Told directly: the others of this entry's own group, or all others where they are few. */
     own: readonly string[];
-    /** Of each other group one is told, and tells the others of it. */
+    /** Of each other group one of these is told, and tells the others of it. */
     others: readonly (readonly string[])[];
 }
 
@@ -42,7 +44,8 @@
             own = group.filter(member => member !== self).map(({ address }) => address);
         }
         else {
-            rest.push(group.map(({ address }) => address));
+            const fresh = group.filter(member => member.fresh);
+            rest.push((fresh.length > 0 ? fresh : group).map(({ address }) => address));
         }
     }
     return { own, others: rest };
--- a/src/core/membership/newsSender.ts
+++ b/src/core/membership/newsSender.ts
@@ -78,6 +78,11 @@
         }
     }
 
+    /** Tells all entries that may be there, without relying on any to pass it on. */
+    tellEach(news: PeerNews): void {
+        this.send(this.parts.registry.allAddresses(), [{ from: this.parts.self, news: [news] }], false);
+    }
+
     /** Tells one entry. */
     tellOne(address: string, news: PeerNews[]): void {
         this.send([address], [{ from: this.parts.self, news }], false);
@@ -124,11 +129,12 @@
         const { clock, registry, self, dataCentre } = this.parts;
         const now = clock.now();
         if (!this.audience || now - this.audience.formedAt >= audienceKept) {
-            const others = registry.living().map(({ identity, dataCentre: place }) => ({
+            const others = registry.living().map(({ identity, dataCentre: place, fresh }) => ({
                 ...identity,
                 dataCentre: place,
+                fresh,
             }));
-            const groups = formGroups({ ...self, dataCentre }, others);
+            const groups = formGroups({ ...self, dataCentre, fresh: true }, others);
             this.audience = { formedAt: now, groups, silent: registry.silentAddresses() };
         }
         return this.audience;
--- a/src/core/membership/peerRegistry.ts
+++ b/src/core/membership/peerRegistry.ts
@@ -6,6 +6,8 @@
 
 /** Signs of life in a row that may be lost before an entry counts as silent. */
 const signsMissed = 4;
+/** An entry that has missed fewer than so many isn't asked to pass anything on. */
+const freshSigns = 2;
 /** Beyond these, for the way and for a sender that is a little late. */
 const silenceSlack: Milliseconds = 500;
 /** Until an entry has said how often it is heard. */
@@ -25,9 +27,11 @@
     known: KnownRevisions;
     /** Whether the store answers it. */
     reads: boolean;
+    /** Whether its last signs of life came; one that has missed two may be gone. */
+    fresh: boolean;
 }
 
-interface Peer extends LivingPeer {
+interface Peer extends Omit<LivingPeer, "fresh"> {
     heardAt: Milliseconds;
     /** When it was listed or heard last. */
     knownAt: Milliseconds;
@@ -51,7 +55,13 @@
     /** The other entries that were heard of late. */
     living(): LivingPeer[] {
         const now = this.clock.now();
-        return [...this.peers.values()].filter(peer => isLiving(peer, now));
+        return [...this.peers.values()].filter(peer => isLiving(peer, now))
+            .map(peer => ({ ...peer, fresh: now - peer.heardAt < freshSigns * peer.signInterval + silenceSlack }));
+    }
+
+    /** Addresses of all other entries that may be there. */
+    allAddresses(): string[] {
+        return this.addresses().map(({ address }) => address);
     }
 
     /** Identifiers of all other entries that are known, heard of late or not. */
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -25,6 +25,11 @@
  * entries that hear each other twice a second would do little else.
  */
 const farSigns = 4;
+/**
+ * The first signs of life go to each entry itself. Until all know the same entries they form different groups, and what is
+ * passed on from group to group misses some.
+ */
+const firstSigns = 4;
 /** Work placed this shortly before may be missing in what its entry says is in progress. */
 const aliveSlack: Milliseconds = 300;
 
@@ -156,6 +161,10 @@
     private sayAliveOnce(sign: number): Milliseconds {
         const vital = this.vital();
         const interval = vital ? vitalSignInterval : signInterval;
+        if (sign < firstSigns) {
+            this.sender.tellEach(this.alive(interval));
+            return interval;
+        }
         this.sender.tellNear(this.alive(interval), 0);
         if (vital || sign % farSigns === 0) {
             this.sender.tellFar(this.alive(vital ? interval : farSigns * interval), 0);
--- a/src/core/placement/failureView.ts
+++ b/src/core/placement/failureView.ts
@@ -62,12 +62,13 @@
      * without a rest each new request would find it idle and fail there.
      */
     lost({ record: { id, dataCentre } }: KnownEndpoint): void {
-        this.failed(id);
-        const record = this.record(id);
-        record.silent++;
-        const now = this.clock.now();
-        record.restUntil = now + Math.min(longestRest, firstRest * 2 ** (record.silent - 1));
-        this.noteLoss({ endpoint: id, dataCentre, at: now });
+        this.rest(id);
+        this.noteLoss({ endpoint: id, dataCentre, at: this.clock.now() });
+    }
+
+    /** Notes that the endpoint said nothing for long. It may be busy; that tells nothing of its data centre. */
+    silent({ record }: KnownEndpoint): void {
+        this.rest(record.id);
     }
 
     /** Notes that nobody listens at the endpoint's address, as this entry found or another one told. */
@@ -95,6 +96,13 @@
         return this.clock.now() < (this.records.get(endpoint)?.restUntil ?? 0);
     }
 
+    private rest(id: string): void {
+        this.failed(id);
+        const record = this.record(id);
+        record.silent++;
+        record.restUntil = this.clock.now() + Math.min(longestRest, firstRest * 2 ** (record.silent - 1));
+    }
+
     private noteLoss(loss: Loss): void {
         this.losses = this.losses.filter(({ at, endpoint }) => loss.at - at < lostWithin && endpoint !== loss.endpoint);
         this.losses.push(loss);
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -82,6 +82,9 @@
     readTime: Milliseconds;
     /** Predicted time to the first event, or to the answer's start for plain services. */
     firstEvent: Milliseconds;
+    /** Of it, the wait for a slot, and behind what is read before. */
+    slotWait: Milliseconds;
+    readWait: Milliseconds;
     /** Whether it would be late and should let later requests go first. */
     yields: boolean;
     /** Predicted time to the answer's end. */
@@ -130,6 +133,8 @@
                 shares: [],
                 readTime: 0,
                 firstEvent: 0,
+                slotWait: 0,
+                readWait: 0,
                 yields: false,
                 whole: need.targetLatency,
                 postponed: false,
@@ -168,6 +173,8 @@
             shares: [],
             readTime: alone,
             firstEvent: behind,
+            slotWait: slotWait(engine, load, need.answerTokens) + behind - firstEvent,
+            readWait: load.passLeft + load.readBacklog,
             yields,
             whole,
             postponed: false,
@@ -224,7 +231,18 @@
         );
         const whole = firstEvent + writing;
         const postponed = this.costsMore(need, engine, firstEvent, candidates.length);
-        return { endpoint: endpoint!, helpers, shares, readTime: part, firstEvent, yields: false, whole, postponed };
+        return {
+            endpoint: endpoint!,
+            helpers,
+            shares,
+            readTime: part,
+            firstEvent,
+            slotWait: 0,
+            readWait: Math.max(0, firstEvent - part),
+            yields: false,
+            whole,
+            postponed,
+        };
     }
 
     /** Whether the engine time of a long prompt is worth more to others than what it still gains. */
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -110,6 +110,9 @@
 /** A stream ended before its last event was whole. */
 export class StreamBrokenError extends DandelionrampError {}
 
+/** A stream said nothing for so long that it is continued elsewhere. */
+export class StreamSilentError extends StreamBrokenError {}
+
 /** The endpoints. */
 export interface EndpointPort {
     /** Sends an order. An abort of `signal` cancels it at the endpoint; the outcome is then of no interest. */
--- /dev/null
+++ b/src/replay/replayPlot.ts
@@ -0,0 +1,48 @@
+/** A picture of a replay by seconds: what the requests that arrived then were worth, and what became of it. */
+import type { ReplayResult } from "./replay.js";
+import { worthOf } from "./replayReport.js";
+import { CallerOutcome } from "./simulatedCaller.js";
+
+const width = 1_000;
+const height = 400;
+
+const colours: Record<CallerOutcome, string> = {
+    [CallerOutcome.InTime]: "#3a923a",
+    [CallerOutcome.Late]: "#e8b33f",
+    [CallerOutcome.Refused]: "#c0504d",
+    [CallerOutcome.Failed]: "#7f3f98",
+};
+
+/** The picture as SVG. What is late counts with what it is still worth; the rest of it is lost. */
+export const replaySvg = async (title: string, { records }: ReplayResult): Promise<string> => {
+    const { init, use } = await import("echarts/core");
+    const { BarChart } = await import("echarts/charts");
+    const { GridComponent, LegendComponent, TitleComponent } = await import("echarts/components");
+    const { SVGRenderer } = await import("echarts/renderers");
+    use([BarChart, GridComponent, LegendComponent, TitleComponent, SVGRenderer]);
+    const seconds = 1 + Math.max(0, ...records.map(({ arrival }) => Math.floor(arrival.at / 1_000)));
+    const series = Object.values(CallerOutcome).map(outcome => {
+        const data = Array.from({ length: seconds }, () => 0);
+        for (const record of records) {
+            if (record.outcome === outcome) {
+                const second = Math.floor(record.arrival.at / 1_000);
+                const kept = outcome === CallerOutcome.Late ? worthOf(record) : record.arrival.worth;
+                data[second] = Math.round((data[second]! + kept) * 10) / 10;
+            }
+        }
+        return { name: outcome, type: "bar" as const, stack: "worth", color: colours[outcome], data };
+    });
+    // Without a document the library draws into a string.
+    const chart = init(undefined, undefined, { renderer: "svg", ssr: true, width, height });
+    chart.setOption({
+        animation: false,
+        title: { text: title },
+        legend: { top: 28 },
+        xAxis: { type: "category", name: "s", data: series[0]!.data.map((...[, second]) => second) },
+        yAxis: { type: "value", name: "worth" },
+        series,
+    });
+    const svg = chart.renderToSVGString();
+    chart.dispose();
+    return svg;
+};
--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -52,7 +52,9 @@
 };
 
 const describeIssue = (file: string, issue: z.core.$ZodIssue, schema: z.ZodType): string => {
-    const [section, key] = issue.path.map(String);
+    const names = issue.path.map(String);
+    const key = names.length > 1 ? names.at(-1) : undefined;
+    const section = names.length > 1 ? names.slice(0, -1).join(".") : names[0];
     const place = [section === undefined ? "" : `[${section}]`, key ?? ""].filter(part => part !== "").join(" ");
     return `${file}: ${place === "" ? "" : `${place}: `}${expectation(issue, schema)}`;
 };
