Cancelled calls reset their connections

Cause: a call that was cancelled closed its connection in the ordinary way.

Change: one function cancels outgoing requests, for those to endpoints and for those of the HTTP client (orders to endpoints, calls to the store, states of other entries): it resets the connection where one is established.

--- a/__tests__/forwarding/largePrompts.test.ts
+++ b/__tests__/forwarding/largePrompts.test.ts
@@ -90,6 +90,24 @@
     await untilAllReleased();
 });
 
+test("timed-out order resets its connection", async () => {
+    // Guards against an order that a network cut holds up and delivers after its data centre was taken out of service.
+    const entry = await site.start("entry-1");
+    let connectionEnd: string | undefined;
+    for (const replica of replicas) {
+        replica.orderFault = ({ operation }, { socket }) => {
+            if (operation !== "reserve" || connectionEnd !== undefined) {
+                return false;
+            }
+            socket?.on("error", (error: NodeJS.ErrnoException) => connectionEnd ??= error.code);
+            socket?.once("close", () => connectionEnd ??= "closed");
+            return true;
+        };
+    }
+    expect((await sendLargePrompt(entry)).status).toBe(200);
+    expect(connectionEnd).toBe("ECONNRESET");
+});
+
 test("caller leaves while its prompt is read", async () => {
     const entry = await site.start("entry-1");
     const disconnect = new AbortController();
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -12,6 +12,7 @@
 import { collectBody } from "../../utils/bodies.js";
 import type { Clock } from "../../utils/clock.js";
 import { describeError } from "../../utils/errors.js";
+import { cancelOnAbort } from "../../utils/requestCancellation.js";
 import { EndpointAgent } from "./endpointAgent.js";
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
@@ -62,9 +63,7 @@
             return;
         }
         const request = this.createRequest(agent);
-        const onAbort = () => request.destroy(new Error("cancelled"));
-        this.signal.addEventListener("abort", onAbort, { once: true });
-        this.removeAbortListener = () => this.signal.removeEventListener("abort", onAbort);
+        this.removeAbortListener = cancelOnAbort(request, this.signal);
         const stopTimer = this.clock.after(this.attempt.connectTimeout, () => {
             // After a delay of this process itself, the timer may run before an established connection is noticed.
             setImmediate(() => {
--- a/src/utils/httpClient.ts
+++ b/src/utils/httpClient.ts
@@ -4,6 +4,7 @@
 import { splitAddress } from "./address.js";
 import { collectBody } from "./bodies.js";
 import { BodyTooLargeError, describeError, ExchangeError } from "./errors.js";
+import { cancelOnAbort } from "./requestCancellation.js";
 
 /** One outgoing request. */
 export interface OutgoingRequest {
@@ -48,8 +49,10 @@
             path: request.path,
             headers: requestHeaders(request),
             agent: request.freshConnection ? new http.Agent({ keepAlive: false }) : request.agent ?? sharedAgent,
-            signal: request.signal,
         });
+        if (request.signal) {
+            outgoing.once("close", cancelOnAbort(outgoing, request.signal));
+        }
         outgoing.on("socket", socket => {
             if (!socket.connecting) {
                 written = true;
