Losses: requests on routes with a short timeout are counted apart

Change: the line of each send names the route's timeout; requests on routes whose timeout is below twice the target are counted in a line of their own and left out of the shares.

--- a/__tests__/losses.test.ts
+++ b/__tests__/losses.test.ts
@@ -79,6 +79,19 @@
     expect(formatLossTable(table)).toContain("75.0%     3 later than predicted");
 });
 
+test("requests on routes with a short timeout are counted apart", () => {
+    // Guards against an operator's tests of the configuration, which end by their route's timeout, hiding what callers lose.
+    const probe = [
+        sent(0, { requestId: "probe", target: 1_000, timeout: 400 }),
+        line(400, "A request failed.", { requestId: "probe", kind: "deadline-exceeded" }),
+    ];
+    const late = [sent(0, { requestId: "a", timeout: 10_000 }), streamed(900, 50, { requestId: "a" })];
+    const table = createLossTable(buildTraces([...probe, ...late]), 2_000);
+    expect(table).toMatchObject({ requests: 1, shortTimeoutRequests: 1 });
+    expect(table.reasons).toEqual([{ reason: LossReason.Unpredicted, requests: 1, share: 0.75 }]);
+    expect(formatLossTable(table)).toContain("1 further requests on routes whose timeout is close to their target");
+});
+
 test("log files with prefixed lines and lines of other programs", () => {
     const file = path.join(tmpdir(), `dandelionramp-losses-${process.pid}.log`);
     const written = (msg: string, time: string, fields: object = {}) =>
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -260,6 +260,7 @@
             version: this.progress.admission.configurationVersion,
             target: route.targetLatency,
             targetGap: route.targetGap,
+            timeout: route.timeout,
             limitPerSecond: this.dependencies.endpointLimits.limitOf(endpoint.record.id),
             promptTokens: this.progress.request.size?.promptTokens,
             helpers: helpers.length > 0 ? helpers.map(({ record }) => record.id) : undefined,
--- a/src/losses/requestTraces.ts
+++ b/src/losses/requestTraces.ts
@@ -41,6 +41,8 @@
     promptTokens: number | undefined;
     target: Milliseconds | undefined;
     targetGap: Milliseconds | undefined;
+    /** Timeout of the request's route. */
+    timeout: Milliseconds | undefined;
     attempts: AttemptTrace[];
     wasPostponed: boolean;
     waitedForMemory: boolean;
@@ -91,6 +93,7 @@
     promptTokens: undefined,
     target: undefined,
     targetGap: undefined,
+    timeout: undefined,
     attempts: [],
     wasPostponed: false,
     waitedForMemory: false,
@@ -108,6 +111,7 @@
         case "request: Sent.":
             trace.target ??= asNumber(fields.target);
             trace.targetGap ??= asNumber(fields.targetGap);
+            trace.timeout ??= asNumber(fields.timeout);
             trace.attempts.push({
                 time,
                 endpoint: asText(fields.endpoint) ?? "",
--- a/src/losses/table.ts
+++ b/src/losses/table.ts
@@ -7,6 +7,11 @@
 const lateLossRatio = 0.75;
 /** This many prompt tokens add as much value as the request itself has. */
 const tokensPerUnitValue = 10_000;
+/**
+ * A route whose timeout is below this multiple of its target ends requests that are hardly late. Operators use such a route to
+ * test which configuration is in force, and its requests would hide the losses of all others.
+ */
+const shortTimeoutFactor = 2;
 /** Maximum number of reasons listed for each time span. */
 const reasonsPerSpan = 3;
 const percentPerUnit = 100;
@@ -30,6 +35,8 @@
 /** Losses by reason and by time span. */
 export interface LossTable {
     requests: number;
+    /** Requests on routes whose timeout is close to their target. They are not part of the other figures. */
+    shortTimeoutRequests: number;
     reasons: ReasonRow[];
     spans: SpanRow[];
 }
@@ -39,8 +46,12 @@
 const sumBy = <Item>(items: readonly Item[], value: (item: Item) => number): number =>
     items.reduce((total, item) => total + value(item), 0);
 
+const hasShortTimeout = ({ timeout = Infinity, target = 0 }: RequestTrace): boolean =>
+    timeout < shortTimeoutFactor * target;
+
 /** Creates the table of the losses of all traces, with time spans of `span` milliseconds. */
-export const createLossTable = (traces: readonly RequestTrace[], span: Milliseconds): LossTable => {
+export const createLossTable = (allTraces: readonly RequestTrace[], span: Milliseconds): LossTable => {
+    const traces = allTraces.filter(trace => !hasShortTimeout(trace));
     const losses = findLosses(traces);
     const spanStart = ({ arrivedAt }: RequestTrace) => Math.floor(arrivedAt / span) * span;
     const spans = [...new Set(traces.map(spanStart))].sort((left, right) => left - right).map(from => {
@@ -49,7 +60,12 @@
         const reasons = createReasonRows(lost, value);
         return { from, share: sumBy(reasons, ({ share }) => share), reasons: reasons.slice(0, reasonsPerSpan) };
     });
-    return { requests: traces.length, reasons: createReasonRows(losses, sumBy(traces, requestValue)), spans };
+    return {
+        requests: traces.length,
+        shortTimeoutRequests: allTraces.length - traces.length,
+        reasons: createReasonRows(losses, sumBy(traces, requestValue)),
+        spans,
+    };
 };
 
 const createReasonRows = (losses: readonly Loss[], value: number): ReasonRow[] =>
@@ -63,10 +79,11 @@
     }).filter(({ requests }) => requests > 0).sort((left, right) => right.share - left.share);
 
 /** Formats the table as text, with shares in percent and times in seconds. */
-export const formatLossTable = ({ requests, reasons, spans }: LossTable): string => {
+export const formatLossTable = ({ requests, shortTimeoutRequests, reasons, spans }: LossTable): string => {
     const formatShare = (share: number) => (share * percentPerUnit).toFixed(1).padStart(5);
     const lines = [
         `${requests} requests, ${formatShare(sumBy(reasons, ({ share }) => share)).trim()}% of their value lost`,
+        `${shortTimeoutRequests} further requests on routes whose timeout is close to their target, not counted`,
         ...reasons.map(({ reason, requests: count, share }) =>
             `${formatShare(share)}% ${String(count).padStart(5)} ${reason}`
         ),
