A long prompt waits for a team of endpoints that finish their prefills soon

Cause: a long prompt took the endpoints that were free at its arrival. The next prompts found none, and endpoints prefilled beside streams.

Change: the selector compares the team that is free now with the one that is free after the running prefills, each with the value lost by its prompt and by the requests at its members. Where waiting gains a tenth of the prompt's value, the request is postponed as others are; the predicted first event after the wait decides how long that is possible.

The tests "burst of the longest prompts", "long prompts on slow engines wait for a team" and "long prompt waits for endpoints that finish their prefills soon" fail without it.

--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -530,3 +530,32 @@
     const { endpoint, helpers } = fixture.selector.select(long, fixture.endpoints)!;
     expect([endpoint, ...helpers].map(({ record }) => record.id)).toEqual(["e-1"]);
 });
+
+/** Endpoints of which all but the first prefill a part of another prompt for `duration`. */
+const busyFixture = (duration: number): Fixture => {
+    const fixture = new Fixture(8);
+    for (const { record: { id } } of fixture.endpoints.slice(1)) {
+        fixture.loads.recordPlaced(fixture.work(id, "other", fixture.requirements(300_000), duration, WorkPart.Read));
+    }
+    return fixture;
+};
+
+test("long prompt waits for endpoints that finish their prefills soon", () => {
+    // Guards against a prompt that occupies the only free endpoint for nine seconds, though seven more are free in a moment.
+    const fixture = busyFixture(250);
+    const long = fixture.requirements(400_000);
+    const placement = fixture.selector.select(long, fixture.endpoints)!;
+    expect(placement.postponed).toBe(true);
+    expect(placement.firstEventAfterWait).toBeLessThan(placement.firstEvent / 2);
+    fixture.time += 300;
+    const later = fixture.selector.select(long, fixture.endpoints)!;
+    expect(later.postponed).toBe(false);
+    expect(later.helpers.length).toBeGreaterThan(2);
+});
+
+test("long prompt doesn't wait for endpoints that stay busy", () => {
+    // Guards against waiting for a team that comes too late to meet the target.
+    const fixture = busyFixture(8_000);
+    const placement = fixture.selector.select(fixture.requirements(400_000), fixture.endpoints)!;
+    expect(placement).toMatchObject({ postponed: false, firstEventAfterWait: undefined });
+});
--- a/__tests__/forwarding/replay.test.ts
+++ b/__tests__/forwarding/replay.test.ts
@@ -69,6 +69,20 @@
     expect(createReplayReport(results).share).toBeLessThan(0.85);
 });
 
+test("burst of the longest prompts", async () => {
+    // Guards against prompts of half a minute that take the few free endpoints one by one, so that the next ones and the short
+    // prompts find none.
+    const results = await replayAll("longest-burst");
+    expect(inTimeRatio(results, "short")).toBeGreaterThan(0.9);
+});
+
+test("long prompts on slow engines wait for a team", async () => {
+    // Guards against streams beside which an endpoint prefills for seconds because no free endpoint was left for the prompt.
+    const results = await replayAll("long-on-slow-engines");
+    expect(inTimeRatio(results, "long")).toBeGreaterThan(0.9);
+    expect(inTimeRatio(results, "middle")).toBeGreaterThan(0.95);
+});
+
 test("data centre lost when the mix turns over", async () => {
     // A third of the endpoints is lost just when the short prompts arrive, while the longest prompts, which can't meet their
     // targets any more, are restarted.
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -83,6 +83,7 @@
     whole: z.number(),
     yields: z.boolean(),
     postponed: z.boolean(),
+    firstEventAfterWait: z.number().optional(),
 });
 const placementAnswerSchema = z.discriminatedUnion("type", [
     z.object({ type: z.literal("Declined"), serial: z.number() }),
--- a/src/core/forwarding/endpointSearch.ts
+++ b/src/core/forwarding/endpointSearch.ts
@@ -113,8 +113,8 @@
      * Whether the first event would still arrive within the patience of the caller if the request were sent after one more
      * delay.
      */
-    private canPostpone({ firstEvent }: Placement): boolean {
-        return postponedPredictionFactor * firstEvent + maximumMemoryRetryDelay < this.progress.patienceLeft;
+    private canPostpone({ firstEvent, firstEventAfterWait = firstEvent }: Placement): boolean {
+        return postponedPredictionFactor * firstEventAfterWait + maximumMemoryRetryDelay < this.progress.patienceLeft;
     }
 
     private async postpone(firstEvent: Milliseconds | undefined): Promise<void> {
--- a/src/core/placement/endpointSelector.ts
+++ b/src/core/placement/endpointSelector.ts
@@ -14,7 +14,14 @@
 import { decodeDuration, passDuration, prefillDuration, prefillDurationInPass } from "./engineCost.js";
 import type { FailureTracker } from "./failureTracker.js";
 import { type EndpointLoad, prefillWait, type WaitingRequest } from "./loadEstimator.js";
-import { chooseTeam, minimumPartRatio, type TeamShare } from "./team.js";
+import {
+    chooseTeam,
+    chooseTeamAfterPrefills,
+    minimumPartRatio,
+    type Team,
+    type TeamRequirements,
+    type TeamShare,
+} from "./team.js";
 
 /**
  * Slots that packing of short prompts leaves free on an endpoint, for requests that other entries place there at the same
@@ -40,6 +47,11 @@
 /** Cost, relative to the request's value, of waiting at an endpoint until other requests release memory. */
 const memoryWaitCost = 0.5;
 
+/** Time after which a waiting request notices that endpoints have finished their prefills. */
+const maximumWaitRetryDelay: Milliseconds = 150;
+/** Gain of waiting, relative to the request's value, that outweighs the risk that other requests take the endpoints first. */
+const minimumWaitGain = 0.1;
+
 /**
  * Share of a response's value that is lost when the response is late but complete; customers rate a late one at a
  * quarter.
@@ -102,8 +114,13 @@
     yields: boolean;
     /** Predicted time to the end of the response. */
     whole: Milliseconds;
-    /** Whether the request should wait because its engine time would cost other requests more than it gains now. */
+    /**
+     * Whether the request should wait: its engine time would cost other requests more than it gains now, or more endpoints
+     * finish their prefills soon.
+     */
     postponed: boolean;
+    /** Predicted time to the first event if the request waits for such endpoints; undefined where it doesn't. */
+    firstEventAfterWait?: Milliseconds;
     /** Whether the load estimates already include this placement. */
     recorded: boolean;
     /** The placer that chose the endpoints; undefined where the sending entry chose them itself. */
@@ -246,7 +263,7 @@
         const candidatesWithMemory = candidates.filter(({ record }) =>
             !requirements.endpointsWithoutMemory.has(record.id)
         );
-        const team = chooseTeam({
+        const teamRequirements: TeamRequirements = {
             engine,
             promptTokens: requirements.promptTokens,
             answerTokens: requirements.answerTokens,
@@ -266,10 +283,12 @@
                         + prefillDurationInPass(engine, part, tokens, load.prefillBacklog),
                 )
                 + lossFromWaiting(load.prefilling, part),
-        });
+        };
+        const team = chooseTeam(teamRequirements);
         if (!team) {
             return undefined;
         }
+        const laterTeam = this.findBetterLaterTeam(teamRequirements, team, value);
         const { members: [endpoint, ...helpers], shares, partDuration, firstEvent } = team;
         const { decodeCount, contextTokens } = this.loadEstimates.loadOf(endpoint!.record.id);
         const decodeTime = decodeDuration(
@@ -279,7 +298,8 @@
             contextTokens + (shares[0]?.tokens ?? requirements.promptTokens),
         );
         const whole = firstEvent + decodeTime;
-        const postponed = this.shouldPostpone(requirements, engine, firstEvent, candidates.length);
+        const postponed = laterTeam !== undefined
+            || this.shouldPostpone(requirements, engine, firstEvent, candidates.length);
         return {
             endpoint: endpoint!,
             helpers,
@@ -291,10 +311,17 @@
             yields: false,
             whole,
             postponed,
+            firstEventAfterWait: laterTeam?.firstEvent,
             recorded: false,
         };
     }
 
+    /** Returns the team that the prompt should wait for, if it is clearly better than `team`. */
+    private findBetterLaterTeam(requirements: TeamRequirements, team: Team, value: number): Team | undefined {
+        const laterTeam = chooseTeamAfterPrefills(requirements, maximumWaitRetryDelay);
+        return laterTeam && laterTeam.loss + minimumWaitGain * value < team.loss ? laterTeam : undefined;
+    }
+
     /**
      * Whether the engine time of a long prompt is worth more to other requests than the value that the prompt still has.
      */
--- a/src/core/placement/placementServer.ts
+++ b/src/core/placement/placementServer.ts
@@ -79,7 +79,8 @@
 }
 
 const serializePlacement = (placement: Placement): SerializedPlacement => {
-    const { readTime, firstEvent, slotWait, readWait, whole, yields, postponed, shares } = placement;
+    const { readTime, firstEvent, slotWait, readWait, whole, yields, postponed, firstEventAfterWait, shares } =
+        placement;
     const [endpoint, ...helpers] = endpointsOfPlacement(placement);
     return {
         endpoint: endpoint!,
@@ -92,5 +93,6 @@
         whole: Math.round(whole),
         yields,
         postponed,
+        firstEventAfterWait: firstEventAfterWait === undefined ? undefined : Math.round(firstEventAfterWait),
     };
 };
--- a/src/core/placement/team.ts
+++ b/src/core/placement/team.ts
@@ -41,11 +41,16 @@
     partDuration: Milliseconds;
     /** Predicted time to the first event. */
     firstEvent: Milliseconds;
+    /** Value that the prompt and the requests at the members lose. */
+    loss: number;
 }
 
 interface TeamCandidate {
     endpoint: KnownEndpoint;
+    /** Load when the part starts; its requests lose value by waiting for the part. */
     load: EndpointLoad;
+    /** Time until the part starts. */
+    wait: Milliseconds;
     freeTokens: number;
 }
 
@@ -63,25 +68,73 @@
     partLoss: (load: EndpointLoad, part: Milliseconds, tokens: number) => number;
 }
 
-/** Returns the team with the lowest loss; undefined when no team has the memory. */
+/** Returns the team with the lowest loss if the prompt is sent now; undefined when no team has the memory. */
 export const chooseTeam = (requirements: TeamRequirements): Team | undefined => {
-    const minimumPartDuration = minimumPartRatio * requirements.targetLatency;
-    const rankedCandidates = rankCandidates(requirements, minimumPartDuration);
+    const candidates = rankCandidates(
+        requirements,
+        requirements.candidates.map(endpoint => {
+            const load = requirements.loadOf(endpoint);
+            return createCandidate(requirements, endpoint, load, prefillWait(load));
+        }),
+    );
+    return chooseMembers(requirements, exceedsMemory(requirements) ? candidates : withoutPrefills(candidates));
+};
+
+/**
+ * Returns the team with the lowest loss if the prompt waits until its members have finished their prefills. `retryDelay` is
+ * the time after which a waiting prompt notices that they have.
+ *
+ * Load pattern: most endpoints finish the parts of another long prompt within a few hundred milliseconds. Sent now, the
+ * prompt would occupy the few that are free for ten seconds, and all prompts behind it would find as few.
+ */
+export const chooseTeamAfterPrefills = (
+    requirements: TeamRequirements,
+    retryDelay: Milliseconds,
+): Team | undefined =>
+    chooseMembers(
+        requirements,
+        rankCandidates(
+            requirements,
+            requirements.candidates.map(endpoint => {
+                const load = requirements.loadOf(endpoint);
+                const wait = load.prefillCount > 0 ? prefillWait(load) + retryDelay : prefillWait(load);
+                return createCandidate(requirements, endpoint, { ...load, prefilling: [] }, wait);
+            }),
+        ),
+    );
+
+const exceedsMemory = ({ engine, promptTokens, answerTokens }: TeamRequirements): boolean =>
+    promptTokens + answerTokens > engine.memoryTokens;
+
+const createCandidate = (
+    { engine }: TeamRequirements,
+    endpoint: KnownEndpoint,
+    load: EndpointLoad,
+    wait: Milliseconds,
+): TeamCandidate => ({
+    endpoint,
+    load,
+    wait,
+    freeTokens: Math.floor(Math.max(0, engine.memoryTokens - load.memoryTokens) * usableMemoryRatio),
+});
+
+/** Returns the first candidates, as many as lose the least value. */
+const chooseMembers = (requirements: TeamRequirements, candidates: readonly TeamCandidate[]): Team | undefined => {
     const tokens = requirements.promptTokens + requirements.answerTokens;
     const prefillTime = prefillDuration(requirements.engine, requirements.promptTokens);
-    const exceedsMemory = tokens > requirements.engine.memoryTokens;
-    const eligibleCandidates = exceedsMemory ? rankedCandidates : withoutPrefills(rankedCandidates);
-    let best: Team | undefined;
-    let bestLoss = Infinity;
-    const memberCountForMemory = exceedsMemory ? eligibleCandidates.length : 1;
+    const needsShares = exceedsMemory(requirements);
     const largestUsefulCount = Math.min(
-        eligibleCandidates.length,
+        candidates.length,
         maximumTeamSize,
-        Math.max(Math.ceil(prefillTime / minimumPartDuration), memberCountForMemory),
+        Math.max(
+            Math.ceil(prefillTime / (minimumPartRatio * requirements.targetLatency)),
+            needsShares ? candidates.length : 1,
+        ),
     );
+    let best: Team | undefined;
     for (let count = 1; count <= largestUsefulCount; count++) {
-        const members = eligibleCandidates.slice(0, count);
-        const shares = exceedsMemory ? divideMemory(members, tokens) : [];
+        const members = candidates.slice(0, count);
+        const shares = needsShares ? divideMemory(members, tokens) : [];
         if (!shares) {
             continue;
         }
@@ -91,27 +144,24 @@
         for (const { load } of members) {
             loss += requirements.partLoss(load, partDuration, requirements.promptTokens / count);
         }
-        if (loss < bestLoss) {
-            bestLoss = loss;
-            best = { members: members.map(({ endpoint }) => endpoint), shares, partDuration, firstEvent };
+        if (loss < (best?.loss ?? Infinity)) {
+            best = { members: members.map(({ endpoint }) => endpoint), shares, partDuration, firstEvent, loss };
         }
     }
     return best;
 };
 
-/** Ranks idle endpoints first, then those whose requests lose least. */
-const rankCandidates = (requirements: TeamRequirements, partDuration: Milliseconds): TeamCandidate[] => {
-    const { engine, promptTokens, candidates, loadOf, partLoss } = requirements;
+/** Ranks candidates without work first, then those that are free early and whose requests lose little. Omits full ones. */
+const rankCandidates = (requirements: TeamRequirements, candidates: readonly TeamCandidate[]): TeamCandidate[] => {
+    const { engine, promptTokens, targetLatency, partLoss } = requirements;
+    const partDuration = minimumPartRatio * targetLatency;
+    const partTokens = promptTokens * partDuration / prefillDuration(engine, promptTokens);
     return candidates
-        .map(endpoint => {
-            const load = loadOf(endpoint);
-            const freeTokens = Math.floor(Math.max(0, engine.memoryTokens - load.memoryTokens) * usableMemoryRatio);
-            const rank =
-                partLoss(load, partDuration, promptTokens * partDuration / prefillDuration(engine, promptTokens))
-                + prefillWait(load) / 1_000;
-            return { candidate: { endpoint, load, freeTokens }, rank };
-        })
-        .filter(({ candidate }) => candidate.load.requestCount < engine.slots)
+        .filter(({ load }) => load.requestCount < engine.slots)
+        .map(candidate => ({
+            candidate,
+            rank: partLoss(candidate.load, partDuration, partTokens) + candidate.wait / 1_000,
+        }))
         .sort((left, right) => left.rank - right.rank || right.candidate.freeTokens - left.candidate.freeTokens)
         .map(({ candidate }) => candidate);
 };
@@ -126,7 +176,7 @@
     if (withoutPrefill.length > 0) {
         return withoutPrefill;
     }
-    const byPrefillWait = [...candidates].sort((left, right) => prefillWait(left.load) - prefillWait(right.load));
+    const byPrefillWait = [...candidates].sort((left, right) => left.wait - right.wait);
     return byPrefillWait.slice(0, 1);
 };
 
@@ -163,9 +213,9 @@
     partDuration: Milliseconds,
 ): Milliseconds => {
     let latest = 0;
-    for (const { load } of members) {
+    for (const { load, wait } of members) {
         const pass = load.decodeCount > 0 ? passDuration(engine, load.decodeCount, load.contextTokens) : 0;
-        latest = Math.max(latest, prefillWait(load) + partDuration + pass);
+        latest = Math.max(latest, wait + partDuration + pass);
     }
     return latest + engine.stepTime;
 };
