Entries that start together don't choose the same endpoints

Cause: each of dozens of entries that had just started regarded itself as the only placer, since the status of the others said that they could not place yet: heartbeats that said otherwise came half a second later, and the list of placers was kept for a second after them. Each counted on hearing of all placements, heard of none, and packed its requests on the first endpoint of its data centre.

Change: an entry that knows many others but no other placer, or that has started less than a second ago, samples endpoints as entries without the placements of others do. An entry that becomes able to place sends a heartbeat at once, and a status that says so renews the list of placers.

A check corrected: "overloaded endpoint gets no more than its advertised limit" counted from the start of the fault, though its own comment says from an endpoint's first limit on.

--- a/__tests__/forwarding/limits.test.ts
+++ b/__tests__/forwarding/limits.test.ts
@@ -71,13 +71,13 @@
     const result = await replay(pattern, { seed, entries });
     const { at, seconds, strength } = pattern.fault.limited!;
     const [begin, end] = [at * 1_000, (at + seconds) * 1_000];
-    const limited = new Set<unknown>();
-    for (const { message, fields } of result.lines) {
-        if (message === "directory: An endpoint names a limit.") {
-            limited.add(fields.endpoint);
+    const limitedSince = new Map<unknown, Milliseconds>();
+    for (const { message, fields, time } of result.lines) {
+        if (message === "directory: An endpoint names a limit." && !limitedSince.has(fields.endpoint)) {
+            limitedSince.set(fields.endpoint, time);
         }
     }
-    return { result, limited, begin, end, perSecond: strength };
+    return { result, limitedSince, begin, end, perSecond: strength };
 };
 
 /** The highest number of requests that `endpoint` got in a window that ends between `begin` and `end`. */
@@ -102,11 +102,11 @@
     for (const entries of [7, 30]) {
         test(`overloaded endpoint gets no more than its advertised limit, ${name}, ${entries} entries`, async () => {
             // Guards against an overloaded endpoint that is chosen like the others despite its limit.
-            for (const seed of [1, 2]) {
-                const { result, limited, begin, end, perSecond } = await replayWithLimits(name, entries, seed);
-                expect(limited.size).toBeGreaterThan(0);
-                for (const endpoint of limited) {
-                    const highest = highestWindowCount(result.arrivals, endpoint, begin, end);
+            for (const seed of [1, 2, 3, 4, 5, 6]) {
+                const { result, limitedSince, end, perSecond } = await replayWithLimits(name, entries, seed);
+                expect(limitedSince.size).toBeGreaterThan(0);
+                for (const [endpoint, since] of limitedSince) {
+                    const highest = highestWindowCount(result.arrivals, endpoint, since, end);
                     expect(highest).toBeLessThanOrEqual(toleratedRequests(perSecond));
                 }
             }
--- a/__tests__/forwarding/peerUpdates.test.ts
+++ b/__tests__/forwarding/peerUpdates.test.ts
@@ -192,3 +192,41 @@
     const others = site.members.filter((...[, index]) => index !== 3);
     expect(others.every(({ peers }) => peers.livingCount === 29)).toBe(true);
 });
+
+test("entry that becomes able to choose endpoints tells the others at once", async () => {
+    // Guards against entries that start together and choose by themselves until their next heartbeats.
+    const clock = new SimulatedClock();
+    const statuses: { at: number; places: boolean; }[] = [];
+    let places = false;
+    const peers = new Peers({
+        clock,
+        log: silentLog,
+        channel: {
+            send: (...[, { messages }]) => {
+                for (const update of messages.flatMap(({ news }) => news)) {
+                    if (update.type === "Alive") {
+                        statuses.push({ at: clock.now(), places: update.status.places });
+                    }
+                }
+            },
+        },
+        loads: new SharedLoadEstimator(new LoadEstimator(clock, () => undefined), clock),
+        publishesLoads: true,
+        self: { id: "entry-1", address: "10.0.0.1:1", incarnation: "1" },
+        dataCentre: "centre-1",
+        knownRevisions: () => ({}),
+        readAges: () => ({}),
+        isStoreReachable: () => true,
+        activeRequestIds: () => [],
+        mayPlaceForOthers: () => places,
+    });
+    peers.applyListing([{ id: "entry-2", address: "10.0.0.2:1" }]);
+    const ending = new AbortController();
+    void peers.runHeartbeats(ending.signal);
+    await clock.run(120);
+    places = true;
+    await clock.run(300);
+    ending.abort();
+    expect(statuses.map(({ places: announced }) => announced)).toEqual([false, true]);
+    expect(statuses[1]!.at).toBeLessThanOrEqual(200);
+});
--- a/__tests__/forwarding/placers.test.ts
+++ b/__tests__/forwarding/placers.test.ts
@@ -1,7 +1,12 @@
 /** Selection of placers, and behaviour without them. */
 import path from "node:path";
 import { expect, test } from "vitest";
-import { choosePlacers, type PlacerCandidate, PlacerRoster } from "../../src/core/membership/placers.js";
+import {
+    choosePlacers,
+    type PlacerCandidate,
+    PlacerRoster,
+    receivesAllPlacements,
+} from "../../src/core/membership/placers.js";
 import { FaultType, type Pattern, readPattern } from "../../src/replay/pattern.js";
 import { replay, type ReplayResult } from "../../src/replay/replay.js";
 import { createReplayReport } from "../../src/replay/replayReport.js";
@@ -40,6 +45,19 @@
     expect(choosePlacers(self!, others)).toMatchObject({ everyone: true, asked: [] });
 });
 
+test("only placer among entries that start doesn't count on their placements", () => {
+    // Guards against entries that choose the same endpoint, since none of them hears of the placements of the others.
+    const [self, ...others] = entriesOf(30);
+    const starting = others.map(entry => ({ ...entry, places: false }));
+    expect(receivesAllPlacements(choosePlacers(self!, starting))).toBe(false);
+    expect(
+        entriesOf(30).some(entry =>
+            receivesAllPlacements(choosePlacers(entry, entriesOf(30).filter(({ id }) => id !== entry.id)))
+        ),
+    ).toBe(true);
+    expect(receivesAllPlacements(choosePlacers(self!, others.slice(0, 5)))).toBe(true);
+});
+
 test("entry that knows no endpoints yet isn't asked", () => {
     // Guards against requests that wait for a response from a process that has just started and can't place them.
     const entries = entriesOf(30).map(entry => entry.processors > 1 ? { ...entry, places: false } : entry);
--- a/__tests__/forwarding/replay.test.ts
+++ b/__tests__/forwarding/replay.test.ts
@@ -69,6 +69,17 @@
     expect(createReplayReport(results).share).toBeLessThan(0.85);
 });
 
+test("entries that start together spread their first requests", async () => {
+    // Guards against dozens of entries that each regard themselves as the only one that chooses endpoints, and choose the same.
+    const pattern = patternOf("long-on-slow-engines");
+    const started = { ...pattern, pattern: { ...pattern.pattern, seconds: 2 } };
+    const results = [];
+    for (const seed of seeds) {
+        results.push(await replay(started, { seed }));
+    }
+    expect(inTimeRatio(results, "short")).toBeGreaterThan(0.95);
+});
+
 test("burst of the longest prompts", async () => {
     // Guards against prompts of half a minute that take the few free endpoints one by one, so that the next ones and the short
     // prompts find none.
--- a/src/core/membership/peerRegistry.ts
+++ b/src/core/membership/peerRegistry.ts
@@ -39,6 +39,14 @@
     places: boolean;
 }
 
+/** What an entry's new status changes. */
+export interface StatusChange {
+    /** Whether the entry reports a newer change of a stored object. */
+    reportsNewerState: boolean;
+    /** Whether the entry became able, or unable, to choose endpoints for others. */
+    changesPlacing: boolean;
+}
+
 interface Peer extends LivingPeer {
     receivedAt: Milliseconds;
     /** When it was last listed or received from. */
@@ -169,12 +177,13 @@
         return true;
     }
 
-    /** Merges an entry's status. Returns whether the entry reports a newer change of a stored object. */
-    mergeStatus(id: string, state: Partial<PeerStatus>): boolean {
+    /** Merges an entry's status. */
+    mergeStatus(id: string, state: Partial<PeerStatus>): StatusChange {
         const peer = this.peers.get(id);
         if (!peer) {
-            return false;
+            return { reportsNewerState: false, changesPlacing: false };
         }
+        const { places: previouslyPlaced } = peer;
         const { known = peer.known, readAges, ...rest } = state;
         const isNewer = Object.values(StateKind).some(kind => (known[kind] ?? -1) > (peer.known[kind] ?? -1));
         Object.assign(peer, rest, { known });
@@ -184,7 +193,7 @@
         if (isNewer) {
             this.markChanged();
         }
-        return isNewer;
+        return { reportsNewerState: isNewer, changesPlacing: peer.places !== previouslyPlaced };
     }
 
     /**
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -21,12 +21,22 @@
 import type { LoadUpdate, SharedLoadEstimator } from "../placement/sharedLoadEstimator.js";
 import { HeartbeatSender } from "./heartbeatSender.js";
 import { type LivingPeer, PeerRegistry } from "./peerRegistry.js";
-import { type PlacerCandidate, PlacerRoster, type PlacerSet } from "./placers.js";
-import { completionBatching, noBatching, placementBatching, UpdateSender } from "./updateSender.js";
+import { type PlacerCandidate, PlacerRoster, type PlacerSet, receivesAllPlacements } from "./placers.js";
+import {
+    completionBatching,
+    directPropagationDelay,
+    noBatching,
+    placementBatching,
+    UpdateSender,
+} from "./updateSender.js";
 import { deserializePlacement, serializeLoadUpdate } from "./workSerialization.js";
 
 /** Work placed less than this before a heartbeat may still be missing from the heartbeat's requests in progress. */
 const inProgressSlack: Milliseconds = 300;
+/** Time after the start in which the others learn of this entry, so that their placements don't reach it yet. */
+const joinDuration: Milliseconds = 1_000;
+/** Interval at which an entry that starts checks whether it is able to choose endpoints. */
+const readinessPollInterval: Milliseconds = 50;
 
 /** Dependencies of {@link Peers}. */
 export interface PeersDependencies {
@@ -68,6 +78,9 @@
     /** Whether this entry watches the store for all, so that other groups need all of its heartbeats. */
     isWatcher: () => boolean = () => false;
     private foundEntries = false;
+    private startedAt: Milliseconds = Infinity;
+    /** Whether this entry was able to choose endpoints when it sent its last heartbeat. */
+    private announcedPlacing = false;
     private readonly registry: PeerRegistry;
     private readonly sender: UpdateSender;
     private readonly roster: PlacerRoster;
@@ -98,9 +111,10 @@
         return this.registry.living().length + 1;
     }
 
-    /** How long a placement takes to reach the entries that choose endpoints; infinite where this entry isn't one of them. */
+    /** How long a placement of another entry takes to reach this one; infinite where not all of them do. */
     get propagationDelay(): Milliseconds {
-        return this.sender.propagationDelay;
+        const hasJoined = this.dependencies.clock.now() - this.startedAt >= joinDuration;
+        return hasJoined && receivesAllPlacements(this.roster.current()) ? directPropagationDelay : Infinity;
     }
 
     /** The other living entries. */
@@ -183,14 +197,33 @@
 
     /** Sends heartbeats until `signal` aborts. */
     async runHeartbeats(signal: AbortSignal): Promise<void> {
+        this.startedAt = this.dependencies.clock.now();
         while (!signal.aborted) {
+            this.announcedPlacing ||= this.ownCandidacy().places;
             const interval = this.heartbeats.send(this.isWatcher());
             this.registry.removeLostPeers();
             this.onPeerStatus();
-            await this.dependencies.clock.sleep(interval, signal);
+            await this.sleepUntilHeartbeat(interval, signal);
         }
     }
 
+    /**
+     * Sleeps for `interval`, or until this entry becomes able to choose endpoints for the first time. If the others learned of
+     * that half a second later, all entries that have just started together would choose by themselves for as long, without
+     * knowing of one another's placements.
+     */
+    private async sleepUntilHeartbeat(interval: Milliseconds, signal: AbortSignal): Promise<void> {
+        const { clock } = this.dependencies;
+        const wakesAt = clock.now() + interval;
+        while (!this.announcedPlacing && !signal.aborted && clock.now() < wakesAt) {
+            await clock.sleep(Math.min(readinessPollInterval, wakesAt - clock.now()), signal);
+            if (this.ownCandidacy().places) {
+                return;
+            }
+        }
+        await clock.sleep(Math.max(0, wakesAt - clock.now()), signal);
+    }
+
     /** Publishes that the store has responded to this entry, with the delta if it is small. */
     publishStoreRead(change: StateDelta | undefined): void {
         const { knownRevisions, readAges } = this.dependencies;
@@ -311,7 +344,11 @@
     }
 
     private mergeStatus(id: string, status: Partial<PeerStatus>): void {
-        if (this.registry.mergeStatus(id, status)) {
+        const { reportsNewerState, changesPlacing } = this.registry.mergeStatus(id, status);
+        if (changesPlacing) {
+            this.roster.invalidate();
+        }
+        if (reportsNewerState) {
             this.onPeerStatus();
         }
     }
--- a/src/core/membership/placers.ts
+++ b/src/core/membership/placers.ts
@@ -46,6 +46,13 @@
     asked: readonly PlacerCandidate[];
 }
 
+/**
+ * Whether an entry receives all placements. An entry that knows many others but no other placer doesn't: the others have just
+ * started, and each regards itself as the only placer.
+ */
+export const receivesAllPlacements = ({ everyone, self, others }: PlacerSet): boolean =>
+    everyone || (self && others.length > 0);
+
 /** Selects the placers among `self` and `others`. Entries with the same membership list select the same placers. */
 export const choosePlacers = (self: PlacerCandidate, others: readonly PlacerCandidate[]): PlacerSet => {
     if (others.length <= fullMeshPeerLimit) {
--- a/src/core/membership/updateSender.ts
+++ b/src/core/membership/updateSender.ts
@@ -36,7 +36,7 @@
 const relayBatchingDelay: Milliseconds = 20;
 const heartbeatBatchingDelay: Milliseconds = 200;
 /** Network delay of a datagram between data centres, plus the time to handle it. */
-const directPropagationDelay: Milliseconds = 2;
+export const directPropagationDelay: Milliseconds = 2;
 /** Number of messages that triggers sending the relay batch at once. */
 const maximumRelayBatchSize = 64;
 
@@ -135,12 +135,6 @@
         }
     }
 
-    /** How long a placement takes to reach the entries that choose endpoints; infinite where this entry isn't one of them. */
-    get propagationDelay(): Milliseconds {
-        const { everyone, self } = this.dependencies.placers();
-        return everyone || self ? directPropagationDelay : Infinity;
-    }
-
     /** Recomputes the groups before the next update, after an entry joined or is stopping. */
     invalidateRecipients(): void {
         this.recipients = undefined;
