--- a/__tests__/forwarding/peerUpdates.test.ts
+++ b/__tests__/forwarding/peerUpdates.test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from "vitest";
 import { Membership } from "../../src/core/membership/membership.js";
 import { Peers } from "../../src/core/membership/peers.js";
-import { WorkPart } from "../../src/core/placement/engineEstimate.js";
+import { type PlacedWork, WorkPart } from "../../src/core/placement/engineEstimate.js";
 import { LoadEstimator } from "../../src/core/placement/loadEstimator.js";
 import { SharedLoadEstimator } from "../../src/core/placement/sharedLoadEstimator.js";
 import type { PeerPacket, StateDelta } from "../../src/ports/peerChannelPort.js";
@@ -19,11 +19,29 @@
     membership: Membership;
     loads: SharedLoadEstimator;
     abort: AbortController;
+    /** Requests in progress, as its heartbeats list them. */
+    active: string[];
     sent: number;
     /** Whether it receives datagrams. */
     isReachable: boolean;
 }
 
+/** Work of the request `r` at the endpoint `e`. */
+const workOf = (owner: string): PlacedWork => ({
+    id: "r",
+    owner,
+    endpoint: "e",
+    contextTokens: 10,
+    readTokens: 10,
+    readTime: 0,
+    targetGap: 200,
+    value: 1,
+    yielding: false,
+    part: WorkPart.Main,
+    firstEventIn: undefined,
+    endsBy: 60_000,
+});
+
 /** Entries that start together with the first three as seeds. */
 class Site {
     readonly clock = new SimulatedClock();
@@ -51,7 +69,7 @@
             knownRevisions: () => ({}),
             readAges: () => ({}),
             isStoreReachable: () => true,
-            activeRequestIds: () => [],
+            activeRequestIds: () => member.active,
         });
         const ending = new AbortController();
         const member: Member = {
@@ -61,6 +79,7 @@
             membership: new Membership(peers, id),
             loads,
             abort: ending,
+            active: [],
             sent: 0,
             isReachable: true,
         };
@@ -127,20 +146,7 @@
         // Guards against placers that choose an endpoint in use because they haven't received its placement.
         const site = new Site(count);
         await site.clock.run(5_000);
-        site.members[0]!.loads.recordPlaced([{
-            id: "r",
-            owner: "entry-0",
-            endpoint: "e",
-            contextTokens: 10,
-            readTokens: 10,
-            readTime: 0,
-            targetGap: 200,
-            value: 1,
-            yielding: false,
-            part: WorkPart.Main,
-            firstEventIn: undefined,
-            endsBy: 60_000,
-        }]);
+        site.members[0]!.loads.recordPlaced([workOf("entry-0")]);
         const placers = site.members.filter(({ peers }) => peers.placers().self);
         const informedCount = () => placers.filter(({ loads }) => loads.loadOf("e").requestCount === 1).length;
         // 30 ms, the tolerable delay until placers have a placement: a tenth of the shortest latency target.
@@ -153,6 +159,38 @@
     });
 }
 
+test("restarted placer keeps the work in progress that it learned", async () => {
+    // Guards against a placer that takes its first contact with each entry for that entry's restart: it told all other placers
+    // that the work of every entry had ended, and they chose full endpoints until that work was gone.
+    const site = new Site(30);
+    await site.clock.run(5_000);
+    const owner = site.members.findIndex(({ peers }) => !peers.placers().self);
+    site.members[owner]!.active.push("r");
+    site.members[owner]!.loads.recordPlaced([workOf(`entry-${owner}`)]);
+    await site.clock.run(5_100);
+    const [restarted, informed] = [...site.members.keys()].filter(index => site.members[index]!.peers.placers().self);
+    site.stop(restarted!);
+    await site.clock.run(6_000);
+    const { loads } = site.start(restarted!, "second");
+    loads.merge(site.members[informed!]!.loads.inProgress());
+    await site.clock.run(8_000);
+    const placers = site.members.filter(({ peers }) => peers.placers().self);
+    expect(placers.map(placer => placer.loads.loadOf("e").requestCount)).toEqual(placers.map(() => 1));
+});
+
+test("work of an entry's earlier process ends with its restart", async () => {
+    // Guards against endpoints that seem in use until the deadline of requests that were cut when their entry was killed.
+    const site = new Site(7);
+    await site.clock.run(5_000);
+    site.members[3]!.loads.recordPlaced([workOf("entry-3")]);
+    await site.clock.run(5_010);
+    expect(site.members[0]!.loads.loadOf("e").requestCount).toBe(1);
+    site.stop(3);
+    site.start(3, "second");
+    await site.clock.run(5_060);
+    expect(site.members[0]!.loads.loadOf("e").requestCount).toBe(0);
+});
+
 test("datagrams per entry grow no faster than the square root of the number of entries", async () => {
     // 90 entries that received each other's heartbeats twice a second spent 5% of a core on them. With three times as many
     // entries, each may send about sqrt(3) times as much.
--- a/src/core/membership/peerRegistry.ts
+++ b/src/core/membership/peerRegistry.ts
@@ -23,6 +23,19 @@
 /** Number of entry names in one log line. */
 const maximumLoggedNames = 12;
 
+/** Incarnation of an entry that was listed but not received from. */
+const unknownIncarnation = "";
+
+/** What a message tells about the entry that sent it. */
+export enum Contact {
+    /** The process was received from before. */
+    Known = "known",
+    /** No message of the entry was received before. */
+    New = "new",
+    /** An earlier process of the entry was received from. */
+    Restarted = "restarted",
+}
+
 /** An entry whose heartbeats arrive. The fields that {@link PeerStatus} shares are overwritten from it. */
 export interface LivingPeer {
     identity: PeerIdentity;
@@ -154,13 +167,13 @@
                 }
                 continue;
             }
-            this.peers.set(id, newPeer({ id, address, incarnation: "" }, now, -Infinity, listed));
+            this.peers.set(id, newPeer({ id, address, incarnation: unknownIncarnation }, now, -Infinity, listed));
             this.markChanged();
         }
     }
 
-    /** Records a message from an entry. Returns whether the entry is new or has restarted. */
-    recordReceived(from: PeerIdentity): boolean {
+    /** Records a message from an entry. */
+    recordReceived(from: PeerIdentity): Contact {
         const now = this.clock.now();
         const peer = this.peers.get(from.id);
         if (peer && peer.identity.incarnation === from.incarnation) {
@@ -169,12 +182,13 @@
             }
             peer.receivedAt = now;
             peer.lastSeenAt = now;
-            return false;
+            return Contact.Known;
         }
         this.peers.set(from.id, newPeer(from, now, now, peer?.isListed ?? false));
         this.markChanged();
         this.newEntries.push(from.id);
-        return true;
+        const wasReceivedBefore = peer !== undefined && peer.identity.incarnation !== unknownIncarnation;
+        return wasReceivedBefore ? Contact.Restarted : Contact.New;
     }
 
     /** Merges an entry's status. */
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -20,7 +20,7 @@
 import type { PlacementAnswer, PlacementQuestion } from "../placement/placementQuestion.js";
 import type { LoadUpdate, SharedLoadEstimator } from "../placement/sharedLoadEstimator.js";
 import { HeartbeatSender } from "./heartbeatSender.js";
-import { type LivingPeer, PeerRegistry } from "./peerRegistry.js";
+import { Contact, type LivingPeer, PeerRegistry } from "./peerRegistry.js";
 import { type PlacerCandidate, PlacerRoster, type PlacerSet, receivesAllPlacements } from "./placers.js";
 import {
     completionBatching,
@@ -279,12 +279,17 @@
     }
 
     private recordSender(from: PeerIdentity): void {
-        if (this.registry.recordReceived(from)) {
-            // The work in progress of an earlier incarnation ended with its process.
+        const contact = this.registry.recordReceived(from);
+        if (contact === Contact.Known) {
+            return;
+        }
+        if (contact === Contact.Restarted) {
+            // The work in progress of an earlier incarnation ended with its process. The work of a new entry is kept: this
+            // entry has just learned it from another one, and would tell the other placers that it has ended.
             this.retainWork(from.id, [], this.dependencies.clock.now());
-            this.sender.invalidateRecipients();
-            this.roster.invalidate();
         }
+        this.sender.invalidateRecipients();
+        this.roster.invalidate();
     }
 
     private applyUpdate(from: PeerIdentity, update: PeerUpdate): void {
