--- a/src/core/placement/loadEstimator.ts
+++ b/src/core/placement/loadEstimator.ts
@@ -79,6 +79,8 @@
     private readonly estimateByEndpoint = new Map<string, EngineEstimate>();
     /** Ids of the endpoints that have parts of a work, by work id. */
     private readonly endpointsByWork = new Map<string, string[]>();
+    /** Ids of the work in progress that each entry placed, so that a heartbeat costs no search over all work. */
+    private readonly workIdsByOwner = new Map<string, Set<string>>();
     /** End times of work that was unknown when its end arrived, by endpoint and work id. */
     private readonly endTimes = new Map<string, Milliseconds>();
 
@@ -109,6 +111,7 @@
             now,
         );
         this.endpointsByWork.set(id, [...this.endpointsByWork.get(id) ?? [], endpoint]);
+        this.workIdsByOwner.set(work.owner, (this.workIdsByOwner.get(work.owner) ?? new Set()).add(id));
     }
 
     /** Records that work has started to decode, so its prefill and the parts of its helpers are complete. */
@@ -178,11 +181,15 @@
     /** Removes work that `owner` placed before `before` and that is not in `inProgress`; returns the removed work. */
     retainOnly(owner: string, inProgress: ReadonlySet<string>, before: Milliseconds): EndedWork[] {
         const ended: EndedWork[] = [];
-        for (const [endpoint, { workById }] of this.estimateByEndpoint) {
-            for (const work of workById.values()) {
-                if (work.owner === owner && work.placedAt <= before && !inProgress.has(work.id)) {
-                    this.remove(endpoint, work.id);
-                    ended.push({ endpoint, id: work.id });
+        for (const id of this.workIdsByOwner.get(owner) ?? []) {
+            if (inProgress.has(id)) {
+                continue;
+            }
+            for (const endpoint of this.endpointsByWork.get(id) ?? []) {
+                const work = this.estimateByEndpoint.get(endpoint)?.workById.get(id);
+                if (work && work.placedAt <= before) {
+                    this.remove(endpoint, id);
+                    ended.push({ endpoint, id });
                 }
             }
         }
@@ -215,7 +222,9 @@
     }
 
     private remove(endpoint: string, id: string): void {
-        this.estimateByEndpoint.get(endpoint)?.remove(id, this.clock.now());
+        const estimate = this.estimateByEndpoint.get(endpoint);
+        const owner = estimate?.workById.get(id)?.owner;
+        estimate?.remove(id, this.clock.now());
         const remainingEndpoints = this.endpointsByWork.get(id)?.filter(partEndpoint => partEndpoint !== endpoint)
             ?? [];
         if (remainingEndpoints.length > 0) {
@@ -223,6 +232,15 @@
         }
         else {
             this.endpointsByWork.delete(id);
+            this.forgetWorkOf(owner, id);
+        }
+    }
+
+    private forgetWorkOf(owner: string | undefined, id: string): void {
+        const workIds = owner === undefined ? undefined : this.workIdsByOwner.get(owner);
+        workIds?.delete(id);
+        if (workIds?.size === 0) {
+            this.workIdsByOwner.delete(owner!);
         }
     }
 }
