--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -1,15 +1,12 @@
 /** Tests the endpoint selection under the load patterns that it must handle. */
 import { expect, test } from "vitest";
 import type { KnownEndpoint } from "../../src/core/membership/endpointDirectory.js";
-import {
-    EndpointSelector,
-    type PlacementRequirements,
-    requestValue,
-} from "../../src/core/placement/endpointSelector.js";
+import { EndpointSelector, type PlacementRequirements } from "../../src/core/placement/endpointSelector.js";
 import { prefillDuration } from "../../src/core/placement/engineCost.js";
 import { type PlacedWork, WorkPart } from "../../src/core/placement/engineEstimate.js";
 import { FailureTracker } from "../../src/core/placement/failureTracker.js";
 import { LoadEstimator } from "../../src/core/placement/loadEstimator.js";
+import { requestValue } from "../../src/core/placement/requestValue.js";
 import { SharedLoadEstimator } from "../../src/core/placement/sharedLoadEstimator.js";
 import { minimumPartRatio } from "../../src/core/placement/team.js";
 import { EndpointState, type EngineProfile, type ServiceDefinition } from "../../src/types/routing.js";
--- a/src/core/placement/endpointSelector.ts
+++ b/src/core/placement/endpointSelector.ts
@@ -13,7 +13,9 @@
 import type { Demand } from "./demand.js";
 import { decodeDuration, passDuration, prefillDuration, prefillDurationInPass } from "./engineCost.js";
 import type { FailureTracker } from "./failureTracker.js";
-import { type EndpointLoad, prefillWait, type WaitingRequest } from "./loadEstimator.js";
+import { type EndpointLoad, prefillWait } from "./loadEstimator.js";
+import { latenessProbability, lossFromLateness, lossFromWaiting } from "./lostValue.js";
+import { requestValue } from "./requestValue.js";
 import {
     chooseTeam,
     chooseTeamAfterPrefills,
@@ -22,6 +24,13 @@
     type TeamRequirements,
     type TeamShare,
 } from "./team.js";
+import {
+    decodeTimePerSlot,
+    predictFirstEvent,
+    predictSlotWait,
+    waitBehindYielding,
+    waitBeyondCurrentPass,
+} from "./waitPrediction.js";
 
 /**
  * Slots that packing of short prompts leaves free on an endpoint, for requests that other entries place there at the same
@@ -30,20 +39,12 @@
 const reservedSlots = 1;
 /** A prefill up to this duration may run beside decoding requests; it lengthens one gap by at most its own duration. */
 const shortPrefillDuration: Milliseconds = 100;
-/** Predicted time relative to the target at which the lateness probability starts to rise, and at which it reaches 1. */
-const latenessStartRatio = 0.6;
-const latenessFullRatio = 1.2;
 /** Cost of a failure, relative to the value that is lost with it. */
 const failureCost = 1;
 /** Costs that only break ties between otherwise equal endpoints. */
 const packingCost = 0.002;
 const distanceCost = 0.001;
 const queueCost = 0.02;
-/**
- * Delay that is no sign of a stalled endpoint: updates about first events arrive up to this late, and predictions err by
- * as much.
- */
-const overdueTolerance: Milliseconds = 100;
 /** Cost, relative to the request's value, of waiting at an endpoint until other requests release memory. */
 const memoryWaitCost = 0.5;
 
@@ -52,12 +53,6 @@
 /** Gain of waiting, relative to the request's value, that outweighs the risk that other requests take the endpoints first. */
 const minimumWaitGain = 0.1;
 
-/**
- * Share of a response's value that is lost when the response is late but complete; customers rate a late one at a
- * quarter.
- */
-const lateLossShare = 0.75;
-
 /** Lower bound on the sampled candidates: a smaller sample often misses a good endpoint. */
 const minimumSampleSize = 8;
 
@@ -70,9 +65,6 @@
     readonly demand: Demand;
 }
 
-/** Callers abandon a stream after a gap of this many times their target gap. */
-const patienceInTargetGaps = 8;
-
 /** The request to be placed, its targets, and the endpoints to avoid. */
 export interface PlacementRequirements {
     service: ServiceDefinition;
@@ -127,17 +119,10 @@
     chosenBy?: string;
 }
 
-/** Value that is lost when a generation is late, relative to other requests. Longer prompts have a higher value. */
-export const requestValue = (promptTokens: number): number => 1 + promptTokens / 10_000;
-
 /** Whether the request needs more memory than one engine has. */
 export const exceedsOneEngine = ({ service: { engine }, promptTokens, answerTokens }: PlacementRequirements): boolean =>
     engine !== undefined && promptTokens + answerTokens > engine.memoryTokens;
 
-/** Probability that a response is late, given its predicted time and its target. */
-const latenessProbability = (predicted: Milliseconds, target: Milliseconds): number =>
-    Math.min(1, Math.max(0, (predicted / target - latenessStartRatio) / (latenessFullRatio - latenessStartRatio)));
-
 /** Selects among endpoints that may receive requests. */
 export class EndpointSelector {
     constructor(
@@ -331,7 +316,7 @@
         firstEvent: Milliseconds,
         engineCount: number,
     ): boolean {
-        const slotTime = decodeTimePerSlot(engine, requirements);
+        const slotTime = decodeTimePerSlot(engine, requirements.answerTokens);
         const price = this.loadEstimates.demand.price(requirements.service.name, engineCount, slotTime);
         const gain = requestValue(requirements.promptTokens) * (1 - lossFromLateness(requirements, firstEvent));
         return price * (prefillDuration(engine, requirements.promptTokens) + slotTime) > gain;
@@ -366,25 +351,6 @@
     }
 }
 
-/**
- * Share of its value that a prompt loses with a first event after `firstEvent`, by missing its target and by the caller
- * giving up.
- */
-const lossFromLateness = (requirements: PlacementRequirements, firstEvent: Milliseconds): number =>
-    lateLossShare * latenessProbability(firstEvent, Math.max(1, requirements.targetLeft))
-    + (1 - lateLossShare) * latenessProbability(firstEvent, Math.max(1, requirements.patienceLeft));
-
-/** Value that is lost when the requests at an endpoint wait this long for their next event. */
-const lossFromWaiting = (waiting: readonly WaitingRequest[], wait: Milliseconds): number => {
-    let loss = 0;
-    for (const { targetGap, value } of waiting) {
-        loss += value
-            * (lateLossShare * latenessProbability(wait, targetGap)
-                + (1 - lateLossShare) * latenessProbability(wait, patienceInTargetGaps * targetGap));
-    }
-    return loss;
-};
-
 /** Steers short prompts to endpoints that decode already, so that other endpoints stay free for long prefills. */
 const packingPenalty = (engine: EngineProfile, load: EndpointLoad): number => {
     const packedSlots = engine.slots - reservedSlots;
@@ -393,59 +359,6 @@
         : packingCost * 3 * load.decodeCount;
 };
 
-/**
- * Predicts the time to the first event: the running pass finishes, then the engine prefills its backlog and this prompt,
- * and decodes the first tokens. An engine without decoding requests starts to decode with the next step.
- */
-const predictFirstEvent = (
-    engine: EngineProfile,
-    load: EndpointLoad,
-    part: Milliseconds,
-    answerTokens: number,
-): Milliseconds => {
-    const pass = load.decodeCount > 0
-        ? passDuration(engine, load.decodeCount + 1, load.contextTokens)
-        : engine.stepTime;
-    return waitBeforePrefill(engine, load, answerTokens) + part + pass;
-};
-
-/**
- * Wait until the prefill of a prompt starts: for a slot, and behind earlier prefills. A wait that has already exceeded
- * its prediction is expected to last about as long again.
- */
-const waitBeforePrefill = (engine: EngineProfile, load: EndpointLoad, answerTokens: number): Milliseconds =>
-    predictSlotWait(engine, load, answerTokens) + prefillWait(load)
-    + Math.max(0, load.overdueTime - overdueTolerance);
-
-/** Engine time that decoding a usual response takes while all slots are in use. */
-const decodeTimePerSlot = (engine: EngineProfile, requirements: PlacementRequirements): Milliseconds =>
-    decodeDuration(engine, engine.usual?.answerTokens ?? requirements.answerTokens, engine.slots - 1, 0) / engine.slots;
-
-/** Wait beyond the remainder of a decode-only pass; that remainder is about the same at every endpoint. */
-const waitBeyondCurrentPass = (engine: EngineProfile, load: EndpointLoad, answerTokens: number): Milliseconds =>
-    Math.max(
-        0,
-        waitBeforePrefill(engine, load, answerTokens) - passDuration(engine, load.decodeCount, load.contextTokens),
-    );
-
-/**
- * Predicted wait for a slot when few endpoints are left and all are full. Slots are released one by one as responses end.
- * Yielding requests don't count, as a new request overtakes them.
- */
-const predictSlotWait = (engine: EngineProfile, load: EndpointLoad, answerTokens: number): Milliseconds => {
-    const requestsAhead = load.requestCount - load.yieldingCount - engine.slots + 1;
-    return Math.max(0, requestsAhead) * slotReleaseInterval(engine, load, answerTokens);
-};
-
-/** Further wait of a yielding request behind the requests that already yield. */
-const waitBehindYielding = (engine: EngineProfile, load: EndpointLoad, answerTokens: number): Milliseconds =>
-    load.yieldingCount * slotReleaseInterval(engine, load, answerTokens);
-
-/** Average interval between two releases of a slot at a full endpoint. */
-const slotReleaseInterval = (engine: EngineProfile, load: EndpointLoad, answerTokens: number): Milliseconds =>
-    decodeDuration(engine, engine.usual?.answerTokens ?? answerTokens, engine.slots - 1, load.contextTokens)
-    / engine.slots;
-
 /** Returns the candidates for which `matches` holds, or all when there is none. */
 const preferMatching = (
     candidates: readonly KnownEndpoint[],
--- a/src/core/placement/placementWork.ts
+++ b/src/core/placement/placementWork.ts
@@ -1,7 +1,8 @@
 /** Lists the work that a placement assigns to each of its endpoints. */
 import type { Milliseconds } from "../../utils/clock.js";
-import { type Placement, requestValue } from "./endpointSelector.js";
+import type { Placement } from "./endpointSelector.js";
 import { type PlacedWork, WorkPart } from "./engineEstimate.js";
+import { requestValue } from "./requestValue.js";
 
 /** The request that was placed. */
 export interface PlacedRequest {
--- a/src/losses/table.ts
+++ b/src/losses/table.ts
@@ -1,12 +1,11 @@
 /** Sums up losses by reason and by time, and formats them as a table. */
+import { requestValue } from "../core/placement/requestValue.js";
 import type { Milliseconds } from "../utils/clock.js";
 import { findLosses, type Loss, LossReason } from "./reasons.js";
 import type { RequestTrace } from "./requestTraces.js";
 
 /** Share of a request's value that is lost by a late response; customers value a late response at a quarter. */
 const lateLossRatio = 0.75;
-/** This many prompt tokens add as much value as the request itself has. */
-const tokensPerUnitValue = 10_000;
 /**
  * A route whose timeout is below this multiple of its target ends requests that are hardly late. Operators use such a route to
  * test which configuration is in force, and its requests would hide the losses of all others.
@@ -41,8 +40,8 @@
     spans: SpanRow[];
 }
 
-const requestValue = ({ promptTokens = 0 }: RequestTrace): number => 1 + promptTokens / tokensPerUnitValue;
-const lostValue = ({ trace, isLate }: Loss): number => requestValue(trace) * (isLate ? lateLossRatio : 1);
+const valueOf = ({ promptTokens = 0 }: RequestTrace): number => requestValue(promptTokens);
+const lostValue = ({ trace, isLate }: Loss): number => valueOf(trace) * (isLate ? lateLossRatio : 1);
 const sumBy = <Item>(items: readonly Item[], value: (item: Item) => number): number =>
     items.reduce((total, item) => total + value(item), 0);
 
@@ -55,7 +54,7 @@
     const losses = findLosses(traces);
     const spanStart = ({ arrivedAt }: RequestTrace) => Math.floor(arrivedAt / span) * span;
     const spans = [...new Set(traces.map(spanStart))].sort((left, right) => left - right).map(from => {
-        const value = sumBy(traces.filter(trace => spanStart(trace) === from), requestValue);
+        const value = sumBy(traces.filter(trace => spanStart(trace) === from), valueOf);
         const lost = losses.filter(({ trace }) => spanStart(trace) === from);
         const reasons = createReasonRows(lost, value);
         return { from, share: sumBy(reasons, ({ share }) => share), reasons: reasons.slice(0, reasonsPerSpan) };
@@ -63,7 +62,7 @@
     return {
         requests: traces.length,
         shortTimeoutRequests: allTraces.length - traces.length,
-        reasons: createReasonRows(losses, sumBy(traces, requestValue)),
+        reasons: createReasonRows(losses, sumBy(traces, valueOf)),
         spans,
     };
 };
