Load estimator: only the entry's own work ends with its heartbeat

The index of work by entry had dropped the comparison of the owner, which stood there before. Ids are unique over the attempts of callers, so no case is known in which it decides; the check is as strict as it was again. Run: format, lint, types, placement, peerUpdates and placers tests.

--- a/src/core/placement/loadEstimator.ts
+++ b/src/core/placement/loadEstimator.ts
@@ -187,7 +187,7 @@
             }
             for (const endpoint of this.endpointsByWork.get(id) ?? []) {
                 const work = this.estimateByEndpoint.get(endpoint)?.workById.get(id);
-                if (work && work.placedAt <= before) {
+                if (work?.owner === owner && work.placedAt <= before) {
                     this.remove(endpoint, id);
                     ended.push({ endpoint, id });
                 }
