What an endpoint reports about itself is decoded and logged in one place

No decision changes.

One report of each response (limit, cold, Retry-After of a 503, leaving) reaches the core as soon as its head has arrived, from requests and from orders; before, the limit travelled with three outcomes and cold with one. Lines 'An endpoint asks for a pause.', 'An endpoint reports that it shuts down.'; 'Sent.' says pauseLeft and isLeaving; gauges paused_endpoints, leaving_endpoints. Which endpoints may receive a request is decided in a module of its own. Replays can make endpoints refuse with a pause, leave, or become cold again without the list showing it.

--- a/__tests__/forwarding/placementClient.test.ts
+++ b/__tests__/forwarding/placementClient.test.ts
@@ -3,7 +3,9 @@
 import { ColdBudget } from "../../src/core/budgets/coldBudget.js";
 import { EndpointLimits } from "../../src/core/budgets/endpointLimits.js";
 import { EndpointDirectory } from "../../src/core/membership/endpointDirectory.js";
+import { ReportedStates } from "../../src/core/membership/reportedStates.js";
 import { Metrics } from "../../src/core/metrics.js";
+import { Eligibility } from "../../src/core/placement/eligibility.js";
 import { EndpointSelector } from "../../src/core/placement/endpointSelector.js";
 import { FailureTracker } from "../../src/core/placement/failureTracker.js";
 import { LoadEstimator } from "../../src/core/placement/loadEstimator.js";
@@ -56,14 +58,21 @@
             processors: 1,
             places: true,
         }));
+        const limits = new EndpointLimits(clock, silentLog, { knownCount: 9, rank: () => 5 });
         this.client = new PlacementClient({
             clock,
             log: silentLog,
             metrics: new Metrics(),
             entry: "entry-1",
             directory,
-            coldBudget: new ColdBudget(clock, () => ({ factor: 1, extra: 0 }), { budgetDivisor: 9, rank: () => 5 }),
-            limits: new EndpointLimits(clock, silentLog, { knownCount: 9, rank: () => 5 }),
+            eligibility: new Eligibility({
+                clock,
+                directory,
+                coldBudget: new ColdBudget(clock, () => ({ factor: 1, extra: 0 }), { budgetDivisor: 9, rank: () => 5 }),
+                limits,
+                reportedStates: new ReportedStates(clock, silentLog),
+            }),
+            limits,
             selector: new EndpointSelector(loads, new FailureTracker(clock), seededRandom(1)),
             loads,
             peers: {
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -5,6 +5,7 @@
     type EndpointAttempt,
     type EndpointPort,
     RefusalReason,
+    type ReportListener,
     type ResponseHead,
     StreamBrokenError,
 } from "../../ports/forwardingPorts.js";
@@ -31,9 +32,9 @@
 
     constructor(private readonly wire: ForwardingWire, private readonly clock: Clock) {}
 
-    send(attempt: EndpointAttempt, signal: AbortSignal): Promise<AttemptOutcome> {
+    send(attempt: EndpointAttempt, signal: AbortSignal, onReport: ReportListener): Promise<AttemptOutcome> {
         return new Promise(resolve =>
-            new EndpointExchange(this.wire, this.clock, attempt, signal, resolve).start(this.agent)
+            new EndpointExchange(this.wire, this.clock, attempt, signal, onReport, resolve).start(this.agent)
         );
     }
 }
@@ -54,6 +55,7 @@
         private readonly clock: Clock,
         private readonly attempt: EndpointAttempt,
         private readonly signal: AbortSignal,
+        private readonly onReport: ReportListener,
         private readonly resolve: (outcome: AttemptOutcome) => void,
     ) {}
 
@@ -133,7 +135,7 @@
 
     private async handleResponse(request: http.ClientRequest, response: http.IncomingMessage): Promise<void> {
         const status = response.statusCode ?? 0;
-        const facts = this.wire.readResponse(response.rawHeaders);
+        const facts = this.wire.readResponse(status, response.rawHeaders);
         response.on("error", error => {
             this.connectionError ??= describeError(error);
         });
@@ -146,13 +148,14 @@
             });
             return;
         }
+        if (status !== misdirectedRequestStatus && (!isSuccess(status) || facts.isSigned)) {
+            this.onReport(facts.report);
+        }
         if (facts.guaranteesNotRun || status === misdirectedRequestStatus) {
             response.resume();
             this.settle({
                 type: "Refused",
                 reason: status === misdirectedRequestStatus ? RefusalReason.WrongEndpoint : RefusalReason.Busy,
-                coldFor: facts.coldFor,
-                limitPerSecond: facts.limitPerSecond,
                 atFault: facts.atFault,
             });
             return;
@@ -165,21 +168,19 @@
             });
             return;
         }
-        const { limitPerSecond } = facts;
         const head = { status, headers: facts.headers };
         if (this.attempt.isStreaming && isSuccess(status)) {
             const events = new EventStream(response, () => this.throwIfIncomplete(response), this.removeAbortListener);
-            this.settle({ type: "Streaming", head, events, limitPerSecond });
+            this.settle({ type: "Streaming", head, events });
             return;
         }
-        await this.receiveBody(request, response, head, limitPerSecond);
+        await this.receiveBody(request, response, head);
     }
 
     private async receiveBody(
         request: http.ClientRequest,
         response: http.IncomingMessage,
         head: ResponseHead,
-        limitPerSecond: number | undefined,
     ): Promise<void> {
         try {
             const body = await this.readBody(response);
@@ -191,7 +192,7 @@
                 });
                 return;
             }
-            this.settle({ type: "Answered", head, body, limitPerSecond });
+            this.settle({ type: "Answered", head, body });
         }
         catch (error) {
             request.destroy();
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -347,6 +347,8 @@
             living_entries: this.core.peers.livingCount,
             counted_entries: this.core.membership.budgetDivisor,
             limited_endpoints: this.core.limits.count,
+            paused_endpoints: this.core.pauses.count,
+            leaving_endpoints: this.core.reportedStates.leavingCount,
             resident_memory_bytes: process.memoryUsage.rss(),
             processor_milliseconds_total: Math.round((user + system) / 1_000),
             ...this.dependencies.gauges?.(),
--- a/src/adapters/forwarding/forwardingWire.ts
+++ b/src/adapters/forwarding/forwardingWire.ts
@@ -1,6 +1,5 @@
 /** Interface between forwarding and the headers of a deployment. The folder of the deployment implements it. */
-import type { EndpointAttempt, HeaderList, RequestHead } from "../../ports/forwardingPorts.js";
-import type { Milliseconds } from "../../utils/clock.js";
+import type { EndpointAttempt, EndpointReport, HeaderList, RequestHead } from "../../ports/forwardingPorts.js";
 
 /** Contents of the headers of a request from a caller, without method and path. */
 export type RequestFacts = Omit<RequestHead, "id" | "method" | "target" | "arrivedAt"> & { id: string | undefined; };
@@ -15,9 +14,8 @@
     guaranteesNotRun: boolean;
     /** Identifier or address of the endpoint that caused a refusal. */
     atFault: string | undefined;
-    coldFor: Milliseconds | undefined;
-    /** Requests per second that the endpoint accepts from all entries together; undefined where it names no limit. */
-    limitPerSecond: number | undefined;
+    /** What the endpoint reports about itself. */
+    report: EndpointReport;
     /** Whether the body was encoded in transit, which a content-encoding header shows. */
     isEncoded: boolean;
     /** Headers that are forwarded to the caller. */
@@ -31,5 +29,5 @@
     readRequest(rawHeaders: HeaderList): RequestFacts;
     /** Returns the headers of an attempt, without connection headers. */
     attemptHeaders(attempt: EndpointAttempt): string[];
-    readResponse(rawHeaders: HeaderList): ResponseFacts;
+    readResponse(status: number, rawHeaders: HeaderList): ResponseFacts;
 }
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -40,6 +40,13 @@
     processors: z.number(),
     places: z.boolean(),
     limits: z.array(z.object({ endpoint: z.string(), perSecond: z.number().optional(), age: z.number() })),
+    reportedStates: z.array(z.object({
+        endpoint: z.string(),
+        incarnation: z.number(),
+        isLeaving: z.boolean(),
+        coldFor: z.number(),
+        age: z.number(),
+    })).optional(),
 });
 const stateDeltaSchema = z.object({
     kind: z.enum(StateKind),
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -11,14 +11,18 @@
 import type { Random } from "../utils/random.js";
 import { ColdBudget, type ColdLimits } from "./budgets/coldBudget.js";
 import { EndpointLimits } from "./budgets/endpointLimits.js";
+import { EndpointPauses } from "./budgets/endpointPauses.js";
 import { type RetryLimits, SharedRetryBudget } from "./budgets/sharedRetryBudget.js";
 import { ActiveConfiguration } from "./configuration/activeConfiguration.js";
 import { Forwarder } from "./forwarding/forwarder.js";
 import type { PlannedStop } from "./forwarding/forwardingDependencies.js";
 import { EndpointDirectory } from "./membership/endpointDirectory.js";
+import { EndpointReports } from "./membership/endpointReports.js";
 import { Membership } from "./membership/membership.js";
 import { Peers } from "./membership/peers.js";
+import { ReportedStates } from "./membership/reportedStates.js";
 import { Metrics } from "./metrics.js";
+import { Eligibility } from "./placement/eligibility.js";
 import { EndpointSelector } from "./placement/endpointSelector.js";
 import { FailureTracker, type SendResult } from "./placement/failureTracker.js";
 import { LoadEstimator } from "./placement/loadEstimator.js";
@@ -61,6 +65,8 @@
     readonly peers: Peers;
     readonly membership: Membership;
     readonly limits: EndpointLimits;
+    readonly pauses: EndpointPauses;
+    readonly reportedStates: ReportedStates;
     readonly forwarder: Forwarder;
     private readonly failures: FailureTracker;
     private readonly placementClient: PlacementClient;
@@ -101,17 +107,21 @@
         this.loads.propagationDelay = () => this.peers.propagationDelay;
         this.membership = new Membership(this.peers, self.id);
         this.limits = new EndpointLimits(clock, log("directory"), this.membership);
+        this.pauses = new EndpointPauses(clock, log("directory"));
+        this.reportedStates = new ReportedStates(clock, log("directory"));
         const selector = new EndpointSelector(this.loads, this.failures, random, dependencies.policy);
         const { directory, loads, metrics, peers } = this;
         const coldBudget = new ColdBudget(clock, dependencies.coldLimits, this.membership);
+        const { limits, reportedStates } = this;
+        const eligibility = new Eligibility({ clock, directory, coldBudget, limits, reportedStates });
         this.placementClient = new PlacementClient({
             clock,
             log: log("placing"),
             metrics,
             entry: self.id,
             directory,
-            coldBudget,
-            limits: this.limits,
+            eligibility,
+            limits,
             selector,
             loads,
             peers,
@@ -120,6 +130,7 @@
             clock,
             routes: () => this.configuration.routes,
             directory,
+            eligibility,
             selector,
             loads,
             dataCentre,
@@ -139,6 +150,9 @@
             retryBudget: new SharedRetryBudget(clock, dependencies.retryLimits, () => this.membership.budgetDivisor),
             coldBudget,
             endpointLimits: this.limits,
+            endpointPauses: this.pauses,
+            reportedStates: this.reportedStates,
+            endpointReports: new EndpointReports(this.limits, this.pauses, this.reportedStates),
             metrics: this.metrics,
             entryId: self.id,
             dataCentre,
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -6,9 +6,12 @@
 import type { Random } from "../../utils/random.js";
 import type { ColdBudget } from "../budgets/coldBudget.js";
 import type { EndpointLimits } from "../budgets/endpointLimits.js";
+import type { EndpointPauses } from "../budgets/endpointPauses.js";
 import type { SharedRetryBudget } from "../budgets/sharedRetryBudget.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import type { EndpointDirectory } from "../membership/endpointDirectory.js";
+import type { EndpointReports } from "../membership/endpointReports.js";
+import type { ReportedStates } from "../membership/reportedStates.js";
 import type { Metrics } from "../metrics.js";
 import type { FailureTracker } from "../placement/failureTracker.js";
 import type { PlacementClient } from "../placement/placementClient.js";
@@ -36,6 +39,9 @@
     retryBudget: SharedRetryBudget;
     coldBudget: ColdBudget;
     endpointLimits: EndpointLimits;
+    endpointPauses: EndpointPauses;
+    reportedStates: ReportedStates;
+    endpointReports: EndpointReports;
     metrics: Metrics;
     /** Identifier of this entry. */
     entryId: string;
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -152,9 +152,6 @@
         const atFault = outcome.atFault === undefined ? undefined : directory.find(outcome.atFault);
         metrics.count("endpoint_refusals_total", `reason="${outcome.reason}"`);
         this.progress.log("An endpoint refused.", endpoint, { reason: outcome.reason, atFault: outcome.atFault });
-        if (outcome.coldFor !== undefined) {
-            directory.recordCold(id, outcome.coldFor);
-        }
         if (atFault && atFault.record.id !== id) {
             failureTracker.recordLost(atFault);
             attempts.excludeLastFromCount();
@@ -262,6 +259,8 @@
             targetGap: route.targetGap,
             timeout: route.timeout,
             limitPerSecond: this.dependencies.endpointLimits.limitOf(endpoint.record.id),
+            pauseLeft: Math.round(this.dependencies.endpointPauses.remaining(endpoint.record)) || undefined,
+            isLeaving: this.dependencies.reportedStates.isLeaving(endpoint.record) || undefined,
             promptTokens: this.progress.request.size?.promptTokens,
             helpers: helpers.length > 0 ? helpers.map(({ record }) => record.id) : undefined,
             reservations: shares.length,
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -2,8 +2,9 @@
  * Sends one attempt of a request to its placement: records the placed work, reserves memory where needed, and detects endpoints
  * that stall.
  */
-import type { AttemptOutcome, ForwardedRequest, StreamEvent } from "../../ports/forwardingPorts.js";
-import { RefusalReason, StreamStalledError } from "../../ports/forwardingPorts.js";
+import type { AttemptOutcome, EndpointReport, ForwardedRequest, StreamEvent } from "../../ports/forwardingPorts.js";
+import { StreamStalledError } from "../../ports/forwardingPorts.js";
+import type { EndpointRecord } from "../../types/routing.js";
 import { RequestKind } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import { abortQuietly } from "../../utils/signal.js";
@@ -64,10 +65,6 @@
     /** These endpoints could not reserve memory; nothing was sent. */
     | { type: "NoMemory"; endpointsWithoutMemory: string[]; };
 
-/** Whether the response came from another endpoint than the one addressed. */
-const isFromOtherEndpoint = (outcome: AttemptOutcome): boolean =>
-    outcome.type === "Refused" && outcome.reason === RefusalReason.WrongEndpoint;
-
 const stallReason = (timeout: Milliseconds): string => `nothing received for ${Math.round(timeout)} ms`;
 
 /** Runs one attempt. */
@@ -100,7 +97,6 @@
         if (signal.aborted) {
             end();
         }
-        const sentAt = this.dependencies.clock.now();
         const outcome = await this.waitUnlessStalled(
             this.sendToEndpoint(),
             this.dispatch.stallPolicy.firstEventTimeout,
@@ -109,7 +105,6 @@
             this.finish();
             return { type: "Silent", reason: stallReason(this.dispatch.stallPolicy.firstEventTimeout) };
         }
-        this.recordLimit(outcome, sentAt);
         if (outcome.type === "Streaming") {
             return { ...outcome, events: this.watchStream(outcome.events) };
         }
@@ -117,19 +112,11 @@
         return outcome;
     }
 
-    /** Records the request limit that a response names. A refusal without a limit leaves the recorded limit unchanged. */
-    private recordLimit(outcome: AttemptOutcome, sentAt: Milliseconds): void {
-        const { endpointLimits } = this.dependencies;
-        const { id } = this.dispatch.placement.endpoint.record;
-        if (!("limitPerSecond" in outcome) || isFromOtherEndpoint(outcome)) {
-            return;
-        }
-        if (outcome.limitPerSecond !== undefined) {
-            endpointLimits.recordLimit(id, outcome.limitPerSecond);
-        }
-        else if (outcome.type !== "Refused") {
-            endpointLimits.recordNoLimit(id, sentAt);
-        }
+    /** Returns a listener for the report in the response to a request that is sent now. */
+    private reportListener(endpoint: EndpointRecord): (report: EndpointReport) => void {
+        const { clock, endpointReports } = this.dependencies;
+        const sentAt = clock.now();
+        return report => endpointReports.record(endpoint, report, sentAt);
     }
 
     /** Reserves the memory of the placement. Resolves with the endpoints that lack it; empty when all of it is reserved. */
@@ -142,6 +129,7 @@
             id: reservationIdFor(request.id, attemptNumber, index),
             endpoint: endpoint.record,
             tokens,
+            onReport: this.reportListener(endpoint.record),
         }));
         const acquired = await MemoryHold.acquire(this.dependencies, reservations, request.id);
         if ("endpointsWithoutMemory" in acquired) {
@@ -183,6 +171,7 @@
                 mayReuseConnection: admission.isRetryable,
             },
             this.abortController.signal,
+            this.reportListener(placement.endpoint.record),
         );
     }
 
--- a/src/core/membership/endpointDirectory.ts
+++ b/src/core/membership/endpointDirectory.ts
@@ -19,7 +19,7 @@
     record: EndpointRecord;
     /** Store revision of the record. */
     revision: number;
-    /** When the endpoint stops being cold, on the local clock. */
+    /** When the endpoint stops being cold by its record, on the local clock. */
     coldUntil: Milliseconds;
     /** When the grace period of a record that expired during a store outage ends; undefined while the record exists. */
     expiresAt: Milliseconds | undefined;
@@ -127,14 +127,6 @@
         }
     }
 
-    /** Records that an endpoint reported itself cold for a further `coldFor`. */
-    recordCold(id: string, coldFor: Milliseconds): void {
-        const endpoint = this.endpointById.get(id);
-        if (endpoint) {
-            endpoint.coldUntil = Math.max(endpoint.coldUntil, this.clock.now() + coldFor);
-        }
-    }
-
     private applyRecord(id: string, revision: number, record: EndpointRecord | undefined, wasAway: boolean): void {
         if (!record) {
             // An unreadable record counts as missing.
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -12,6 +12,7 @@
     PeerStatus,
     PeerUpdate,
     ReadAges,
+    ReportedState,
     StateDelta,
 } from "../../ports/peerChannelPort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
@@ -62,6 +63,9 @@
     /** The limits that endpoints have advertised to this entry, and a callback for those received from another entry. */
     limits?: () => AdvertisedLimit[];
     onLimits?: (limits: readonly AdvertisedLimit[]) => void;
+    /** The states that endpoints have reported to this entry, and a callback for those received from another entry. */
+    reportedStates?: () => ReportedState[];
+    onReportedStates?: (states: readonly ReportedState[]) => void;
     /** Called with the result of another entry's sends to an endpoint. */
     onOutcome?: (endpoint: string, fate: SendResult) => void;
     /** Called when another entry asks for the placement of a request, and with the answer to this entry's own question. */
@@ -260,6 +264,7 @@
             processors,
             places,
             limits: this.dependencies.limits?.() ?? [],
+            reportedStates: this.dependencies.reportedStates?.() ?? [],
         };
     }
 
@@ -343,8 +348,9 @@
         }
     }
 
-    private applyStatus(id: string, { limits, ...status }: PeerStatus): void {
+    private applyStatus(id: string, { limits, reportedStates = [], ...status }: PeerStatus): void {
         this.dependencies.onLimits?.(limits);
+        this.dependencies.onReportedStates?.(reportedStates);
         this.mergeStatus(id, status);
     }
 
--- a/src/core/placement/placementClient.ts
+++ b/src/core/placement/placementClient.ts
@@ -7,11 +7,11 @@
  */
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
-import type { ColdBudget } from "../budgets/coldBudget.js";
 import { Allowance, type EndpointLimits } from "../budgets/endpointLimits.js";
 import type { EndpointDirectory, KnownEndpoint } from "../membership/endpointDirectory.js";
 import type { PlacerCandidate } from "../membership/placers.js";
 import type { Metrics } from "../metrics.js";
+import type { Eligibility } from "./eligibility.js";
 import {
     type EndpointSelector,
     exceedsOneEngine,
@@ -32,11 +32,6 @@
  * Placers asked per request. While some placers are unresponsive only one is asked, as this entry itself may be cut off.
  */
 const maximumPlacersAsked = 2;
-/**
- * Where a smaller share of the endpoints than this is below its advertised limit, endpoints may also receive the
- * tolerated excess.
- */
-const minimumShareWithinLimit = 0.5;
 /** Timed-out questions that are remembered so that a late answer can be undone. */
 const maximumLateQuestions = 64;
 
@@ -59,7 +54,7 @@
     /** Id of this entry. */
     entry: string;
     directory: EndpointDirectory;
-    coldBudget: ColdBudget;
+    eligibility: Eligibility;
     limits: EndpointLimits;
     selector: EndpointSelector;
     loads: SharedLoadEstimator;
@@ -151,21 +146,9 @@
         }
     }
 
-    /**
-     * Returns the endpoints that may receive a request from this entry now. Where most endpoints have reached their
-     * advertised limit, those that tolerate some excess are included: the few others would be overloaded, and callers
-     * rejected.
-     */
+    /** Returns the endpoints that may receive a request from this entry now. */
     candidates({ requirements: { service } }: PlacementRequest, excludedEndpoint?: string): KnownEndpoint[] {
-        const { clock, coldBudget, directory, limits } = this.dependencies;
-        const available = directory.usable(service.name).filter(({ record, coldUntil }) =>
-            record.id !== excludedEndpoint
-            && (clock.now() >= coldUntil || coldBudget.allows(record.id, service.coldRequestsPerSecond))
-        );
-        const withinLimit = available.filter(({ record }) => limits.allows(record.id, Allowance.Named));
-        return withinLimit.length >= minimumShareWithinLimit * available.length
-            ? withinLimit
-            : available.filter(({ record }) => limits.allows(record.id, Allowance.Excess));
+        return this.dependencies.eligibility.candidates(service, excludedEndpoint);
     }
 
     /** Time until an endpoint at its limit has capacity again; undefined where no endpoint is at its limit. */
@@ -265,7 +248,7 @@
         request: PlacementRequest,
         excludedEndpoint: string | undefined,
     ): PlacementQuestion {
-        const { clock } = this.dependencies;
+        const { clock, eligibility } = this.dependencies;
         const {
             service,
             failedEndpoints,
@@ -278,7 +261,7 @@
         const now = clock.now();
         const candidates = this.candidates(request);
         const allowedIds = new Set(candidates.map(({ record }) => record.id));
-        const coldCandidates = candidates.filter(({ coldUntil }) => now < coldUntil);
+        const coldCandidates = candidates.filter(candidate => eligibility.isCold(candidate));
         return {
             ...unchangedRequirements,
             serial,
--- a/src/core/placement/placementServer.ts
+++ b/src/core/placement/placementServer.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../../utils/clock.js";
 import type { RouteTable } from "../configuration/routeTable.js";
 import type { EndpointDirectory, KnownEndpoint } from "../membership/endpointDirectory.js";
+import type { Eligibility } from "./eligibility.js";
 import type { EndpointSelector, Placement } from "./endpointSelector.js";
 import { prefillWait } from "./loadEstimator.js";
 import type { PlacementAnswer, PlacementQuestion, SerializedPlacement } from "./placementQuestion.js";
@@ -13,6 +14,7 @@
     clock: Clock;
     routes: () => RouteTable | undefined;
     directory: EndpointDirectory;
+    eligibility: Eligibility;
     selector: EndpointSelector;
     loads: SharedLoadEstimator;
     dataCentre: string;
@@ -64,13 +66,14 @@
      * endpoints with an advertised limit. Both entries know everything else.
      */
     private candidates({ service, without, cold, spent }: PlacementQuestion): KnownEndpoint[] {
-        const now = this.dependencies.clock.now();
+        const { directory, eligibility } = this.dependencies;
         const allowedColdEndpoints = new Set(cold);
         const endpointsAtLimit = new Set(spent);
-        return this.dependencies.directory.usable(service).filter(({ record, coldUntil }) =>
-            record.id !== without && !endpointsAtLimit.has(record.id)
-            && (now >= coldUntil || allowedColdEndpoints.has(record.id))
-        );
+        return directory.usable(service).filter(endpoint => {
+            const { id } = endpoint.record;
+            return id !== without && !endpointsAtLimit.has(id)
+                && (!eligibility.isCold(endpoint) || allowedColdEndpoints.has(id));
+        });
     }
 
     private remainingPrefillTime(endpoint: string | undefined): number {
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -91,17 +91,27 @@
     headers: HeaderList;
 }
 
-/** Load information that an endpoint adds to its response. */
-export interface EndpointHints {
+/** What an endpoint reports about itself in a response. */
+export interface EndpointReport {
     /** Requests per second that the endpoint accepts from all entries together; undefined where it names no limit. */
     limitPerSecond: number | undefined;
+    /** Whether a missing limit means that the endpoint has none. Refusals and responses to orders don't tell. */
+    mayLiftLimit: boolean;
+    /** How long the endpoint stays cold; undefined where it doesn't say. */
+    coldFor: Milliseconds | undefined;
+    /** For how long the endpoint asks this entry, with a refusal, to send nothing. */
+    retryAfter: Milliseconds | undefined;
+    /** Whether the endpoint is shutting down. */
+    isLeaving: boolean;
 }
 
+/** Receives the report of each response as soon as its head has arrived. */
+export type ReportListener = (report: EndpointReport) => void;
+
 /** An endpoint guarantees that it has not run the request and will not. */
-export interface Refusal extends EndpointHints {
+export interface Refusal {
     type: "Refused";
     reason: RefusalReason;
-    coldFor: Milliseconds | undefined;
     /** Identifier or address of the endpoint that caused the refusal, where the refusal names it. */
     atFault: string | undefined;
 }
@@ -113,8 +123,8 @@
     | Refusal
     /** The request may have run, but no complete response arrived. */
     | { type: "Broken"; reason: string; }
-    | EndpointHints & { type: "Answered"; head: ResponseHead; body: Buffer; }
-    | EndpointHints & { type: "Streaming"; head: ResponseHead; events: AsyncIterable<StreamEvent>; };
+    | { type: "Answered"; head: ResponseHead; body: Buffer; }
+    | { type: "Streaming"; head: ResponseHead; events: AsyncIterable<StreamEvent>; };
 
 /** A stream ended before its last event was complete. */
 export class StreamBrokenError extends DandelionrampError {}
@@ -125,7 +135,7 @@
 /** Sends requests to endpoints. */
 export interface EndpointPort {
     /** Sends one attempt. Aborting `signal` cancels it at the endpoint; the outcome is then ignored. */
-    send(attempt: EndpointAttempt, signal: AbortSignal): Promise<AttemptOutcome>;
+    send(attempt: EndpointAttempt, signal: AbortSignal, onReport: ReportListener): Promise<AttemptOutcome>;
 }
 
 /** The caller's side of one request. */
--- a/src/ports/memoryPort.ts
+++ b/src/ports/memoryPort.ts
@@ -1,6 +1,7 @@
 /** Port for reservations of endpoint memory. */
 import type { EndpointRecord } from "../types/routing.js";
 import type { Milliseconds } from "../utils/clock.js";
+import type { ReportListener } from "./forwardingPorts.js";
 
 /** A reservation of memory on one endpoint for one attempt. */
 export interface MemoryReservation {
@@ -8,6 +9,8 @@
     id: string;
     endpoint: EndpointRecord;
     tokens: number;
+    /** Receives what the endpoint reports about itself in its responses. */
+    onReport: ReportListener;
 }
 
 /** Result of a reservation. */
--- a/src/ports/peerChannelPort.ts
+++ b/src/ports/peerChannelPort.ts
@@ -43,6 +43,19 @@
     age: Milliseconds;
 }
 
+/** The latest state that an endpoint reported in its responses. */
+export interface ReportedState {
+    endpoint: string;
+    /** Incarnation of the endpoint by the list of endpoints. */
+    incarnation: number;
+    /** Whether the endpoint is shutting down. */
+    isLeaving: boolean;
+    /** How long the endpoint stays cold; zero where it isn't. */
+    coldFor: Milliseconds;
+    /** Time since the report. */
+    age: Milliseconds;
+}
+
 /** Changes of a kind of stored objects, for an entry that has all earlier ones. */
 export interface StateDelta {
     kind: StateKind;
@@ -69,6 +82,8 @@
     /** Whether it is able to choose endpoints for others. */
     places: boolean;
     limits: AdvertisedLimit[];
+    /** Missing in messages of earlier versions. */
+    reportedStates?: ReportedState[];
 }
 
 /** One update from an entry to its peers. */
--- a/src/replay/pattern.ts
+++ b/src/replay/pattern.ts
@@ -27,6 +27,12 @@
     Slow = "slow",
     /** Responses advertise a limit of `strength` requests per second, summed over all entries. */
     Limited = "limited",
+    /** The endpoints refuse all requests, and ask each entry that sends one for a pause of `strength` seconds. */
+    Refusing = "refusing",
+    /** The endpoints report that they shut down, and keep serving; the list of endpoints doesn't show it. */
+    Leaving = "leaving",
+    /** The endpoints become cold again and report it; the list of endpoints doesn't show it. */
+    ColdAgain = "coldAgain",
     /** Operators take the data centre out, and bring it back in after the fault's duration. */
     DataCentreOut = "out",
     /** Entries receive no messages from one another; all other traffic reaches them. */
--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -13,7 +13,13 @@
 import { type CallerRecord, simulateCaller } from "./simulatedCaller.js";
 import { SimulatedClock } from "./simulatedClock.js";
 import { type ReplayLogLine, SimulatedEntries } from "./simulatedEntries.js";
-import { type EndpointArrival, replayServiceName, type SimulatedEndpoint, SimulatedFleet } from "./simulatedFleet.js";
+import {
+    type EndpointArrival,
+    type LeavingReport,
+    replayServiceName,
+    type SimulatedEndpoint,
+    SimulatedFleet,
+} from "./simulatedFleet.js";
 
 /** Time before traffic starts, in which the entries discover one another. */
 const warmUpDuration: Milliseconds = 1_000;
@@ -45,6 +51,8 @@
     datagrams: number;
     /** Arrivals of requests at endpoints, with times from the start of traffic. */
     arrivals: EndpointArrival[];
+    /** Responses that reported that their endpoint shuts down, with times from the start of traffic. */
+    leavingReports: LeavingReport[];
 }
 
 /** Replays `pattern`. The same options give the same result. */
@@ -101,12 +109,18 @@
         const datagrams = this.entries.sentDatagramCount - sentBeforeTraffic;
         await clock.run(warmUpDuration + trafficDuration + runOutDuration);
         const lines = this.lines.map(line => ({ ...line, time: line.time - warmUpDuration }));
-        const arrivals = this.fleet.arrivals.map(arrival => ({ ...arrival, at: arrival.at - warmUpDuration }));
+        const sinceTraffic = <Timed extends { at: Milliseconds; }>(timed: Timed): Timed => ({
+            ...timed,
+            at: timed.at - warmUpDuration,
+        });
+        const arrivals = this.fleet.arrivals.map(arrival => sinceTraffic(arrival));
+        const leavingReports = this.fleet.leavingReports.map(report => sinceTraffic(report));
         return {
             records: records.sort((left, right) => left.arrival.at - right.arrival.at),
             lines,
             datagrams,
             arrivals,
+            leavingReports,
         };
     }
 
@@ -136,6 +150,17 @@
                 updateEndpoints(affected, endpoint => endpoint.limitPerSecond = fault.strength);
                 clock.after(duration, () => updateEndpoints(affected, endpoint => endpoint.limitPerSecond = undefined));
                 return;
+            case FaultType.Refusing:
+                updateEndpoints(affected, endpoint => endpoint.requestedPause = fault.strength * 1_000);
+                clock.after(duration, () => updateEndpoints(affected, endpoint => endpoint.requestedPause = undefined));
+                return;
+            case FaultType.Leaving:
+                updateEndpoints(affected, endpoint => endpoint.reportsLeaving = true);
+                clock.after(duration, () => updateEndpoints(affected, endpoint => endpoint.reportsLeaving = false));
+                return;
+            case FaultType.ColdAgain:
+                updateEndpoints(affected, endpoint => endpoint.reportedColdUntil = clock.now() + duration);
+                return;
             case FaultType.DataCentreOut:
                 for (const name of new Set(affected.map(({ record }) => record.dataCentre))) {
                     clock.after(storeChangeDelay, () => this.entries.setDataCentreOut(name, true));
--- a/src/replay/simulatedEntries.ts
+++ b/src/replay/simulatedEntries.ts
@@ -105,7 +105,7 @@
             self,
             dataCentre,
             channel: this.createChannel(self.address),
-            endpointPort: fleet,
+            endpointPort: fleet.portOf(self.id),
             memoryPort: fleet,
             policy,
             publishesPlacements: sharesLoads,
--- a/src/replay/simulatedFleet.ts
+++ b/src/replay/simulatedFleet.ts
@@ -3,7 +3,9 @@
     type AttemptOutcome,
     type EndpointAttempt,
     type EndpointPort,
+    type EndpointReport,
     RefusalReason,
+    type ReportListener,
     StreamBrokenError,
     type StreamEvent,
 } from "../ports/forwardingPorts.js";
@@ -24,21 +26,42 @@
     isUnresponsive: boolean;
     /** Limit in requests per second that responses advertise. */
     limitPerSecond: number | undefined;
+    /** Set while the endpoint refuses all requests: the pause that it asks the entries for. */
+    requestedPause: Milliseconds | undefined;
+    /** Whether responses report that the endpoint shuts down. */
+    reportsLeaving: boolean;
+    /** When the endpoint, which became cold again, is warm by what its responses report. */
+    reportedColdUntil: Milliseconds;
 }
 
 /** Arrival of a request at an endpoint. */
 export interface EndpointArrival {
     endpoint: string;
     at: Milliseconds;
+    /** The entry that sent the request. */
+    entry: string;
+    requestId: string;
+    /** Whether the endpoint refused the request and asked for a pause. */
+    asksForPause: boolean;
+    /** Whether the endpoint was cold again, which its response reports. */
+    isCold: boolean;
+}
+
+/** A response that reported that its endpoint shuts down, when it reached the entry. */
+export interface LeavingReport {
+    endpoint: string;
+    entry: string;
+    at: Milliseconds;
 }
 
 const emptyBytes = Buffer.alloc(0);
 
 /** All engines of a replay. */
-export class SimulatedFleet implements EndpointPort, MemoryPort {
+export class SimulatedFleet implements MemoryPort {
     readonly profile: EngineProfile;
     readonly endpoints: readonly SimulatedEndpoint[];
     readonly arrivals: EndpointArrival[] = [];
+    readonly leavingReports: LeavingReport[] = [];
     /** Number of events in the complete response, by request id. */
     private readonly eventCountByRequest = new Map<string, number>();
 
@@ -61,6 +84,9 @@
             engine: new PassEngine(profile, clock, stallTime),
             isUnresponsive: false,
             limitPerSecond: undefined,
+            requestedPause: undefined,
+            reportsLeaving: false,
+            reportedColdUntil: 0,
         }));
     }
 
@@ -69,7 +95,17 @@
         this.eventCountByRequest.set(id, eventCount);
     }
 
-    async send(attempt: EndpointAttempt, signal: AbortSignal): Promise<AttemptOutcome> {
+    /** Returns the port of one entry. */
+    portOf(entry: string): EndpointPort {
+        return { send: (attempt, signal, onReport) => this.send(entry, attempt, signal, onReport) };
+    }
+
+    private async send(
+        entry: string,
+        attempt: EndpointAttempt,
+        signal: AbortSignal,
+        onReport: ReportListener,
+    ): Promise<AttemptOutcome> {
         const endpoint = this.findEndpoint(attempt.endpoint.address);
         const { record, engine, isUnresponsive } = endpoint;
         if (isUnresponsive) {
@@ -84,12 +120,33 @@
         if (signal.aborted) {
             return { type: "Broken", reason: "cancelled" };
         }
-        this.arrivals.push({ endpoint: record.id, at: this.clock.now() });
+        const { requestedPause } = endpoint;
+        this.arrivals.push({
+            endpoint: record.id,
+            at: this.clock.now(),
+            entry,
+            requestId: attempt.request.id,
+            asksForPause: requestedPause !== undefined,
+            isCold: this.clock.now() < endpoint.reportedColdUntil,
+        });
+        const reportReceived = (report: EndpointReport) => {
+            if (report.isLeaving) {
+                this.leavingReports.push({ endpoint: record.id, entry, at: this.clock.now() });
+            }
+            onReport(report);
+        };
+        if (requestedPause !== undefined) {
+            const report = this.createReport(endpoint, false);
+            await this.waitForTransit();
+            reportReceived({ ...report, retryAfter: requestedPause });
+            return { type: "Refused", reason: RefusalReason.Busy, atFault: undefined };
+        }
         const response = new SimulatedResponse(
             this.clock,
             this.transitDelay,
             endpoint,
             signal,
+            mayLiftLimit => reportReceived(this.createReport(endpoint, mayLiftLimit)),
             helper => this.findAddress(helper),
         );
         return await response.start(emit => this.runOnEngine(attempt, engine, emit, signal));
@@ -115,6 +172,17 @@
         return true;
     }
 
+    private createReport(endpoint: SimulatedEndpoint, mayLiftLimit: boolean): EndpointReport {
+        const coldFor = endpoint.reportedColdUntil - this.clock.now();
+        return {
+            limitPerSecond: endpoint.limitPerSecond,
+            mayLiftLimit,
+            coldFor: coldFor > 0 ? coldFor : undefined,
+            retryAfter: undefined,
+            isLeaving: endpoint.reportsLeaving,
+        };
+    }
+
     private runOnEngine(
         { request, priority, lastEventId, helpers }: EndpointAttempt,
         engine: PassEngine,
@@ -155,6 +223,7 @@
 /** The response of one engine to one attempt, as its events arrive at the entry. */
 class SimulatedResponse implements AsyncIterableIterator<StreamEvent> {
     private readonly receivedEvents: StreamEvent[] = [];
+    private hasHead = false;
     private hasEnded = false;
     private error: Error | undefined;
     private notifyReader: () => void = () => {};
@@ -165,6 +234,7 @@
         private readonly transitDelay: Milliseconds,
         private readonly endpoint: SimulatedEndpoint,
         signal: AbortSignal,
+        private readonly reportHead: (mayLiftLimit: boolean) => void,
         private readonly findAddress: (engine: PassEngine) => string | undefined,
     ) {
         signal.addEventListener("abort", () => this.end(new StreamBrokenError("cancelled")), { once: true });
@@ -214,27 +284,31 @@
     }
 
     private receiveEvent(event: number): void {
+        if (!this.hasHead) {
+            this.hasHead = true;
+            this.reportHead(true);
+        }
         this.receivedEvents.push({ id: String(event), bytes: emptyBytes });
         this.resolveOutcome({
             type: "Streaming",
             head: { status: 200, headers: [] },
             events: this,
-            limitPerSecond: this.endpoint.limitPerSecond,
         });
         this.notifyReader();
     }
 
     private fail(error: Error): void {
         const isRefused = error instanceof EngineFullError;
+        if (isRefused && !this.hasHead) {
+            this.reportHead(false);
+        }
         const atFault = error instanceof HelperLostError ? this.findAddress(error.helper) : undefined;
         this.resolveOutcome(
             isRefused
                 ? {
                     type: "Refused",
                     reason: RefusalReason.Busy,
-                    coldFor: undefined,
                     atFault,
-                    limitPerSecond: this.endpoint.limitPerSecond,
                 }
                 : { type: "Broken", reason: `${this.endpoint.record.id}: ${describeError(error)}` },
         );
