What endpoints newly name reaches all entries at once, not with the next heartbeats

Cause: an entry that asks placers tells what it heard with its next heartbeat, at most a second later, and its placer passes it on with its own, half a second later. Now a changed limit sends the status ahead, gathered over 20 ms, in the message that exists (older builds read it).

The new test failed before with over 1 s.

--- a/__tests__/forwarding/limits.test.ts
+++ b/__tests__/forwarding/limits.test.ts
@@ -65,6 +65,8 @@
 const toleratedRequests = (perSecond: number): number => 1.5 * perSecond * countingWindow / 1_000 + 5;
 /** After this delay all entries have received the limit, from the endpoint or from another entry. */
 const propagationDuration: Milliseconds = 1_000;
+/** An entry that received a limit from the endpoint itself is bound by it after this delay. */
+const limitNoticeDuration: Milliseconds = 500;
 
 const replayWithLimits = async (name: string, entries: number, seed: number) => {
     const pattern = readPattern(path.resolve(import.meta.dirname, `../../examples/patterns/${name}.ini`));
@@ -207,3 +209,15 @@
     limits.merge([{ endpoint: "m-1", perSecond: undefined, age: 100 }]);
     expect(limits.limitOf("m-1")).toBeUndefined();
 });
+
+test("limit reaches all entries before the next heartbeats", async () => {
+    // Guards against entries that send to an overloaded endpoint as before for longer than a second.
+    for (const seed of [1, 2, 3]) {
+        const { result, begin } = await replayWithLimits("endpoints-limited", 30, seed);
+        const times = logTimesByEndpoint(result, "An endpoint names a limit.", begin + settlingDuration);
+        expect(times.length).toBeGreaterThan(0);
+        for (const entryTimes of times) {
+            expect(Math.max(...entryTimes) - Math.min(...entryTimes)).toBeLessThanOrEqual(limitNoticeDuration);
+        }
+    }
+});
--- a/src/core/budgets/endpointLimits.ts
+++ b/src/core/budgets/endpointLimits.ts
@@ -47,6 +47,8 @@
 
 /** The limits in force, and this entry's shares of them. */
 export class EndpointLimits {
+    /** Called when a response to this entry changes a limit. */
+    onChange: () => void = () => {};
     private readonly receivedLimits = new Map<string, ReceivedLimit>();
     private readonly sends: KeyedWindows;
 
@@ -88,7 +90,7 @@
 
     /** Records a limit that a response advertises. */
     recordLimit(endpoint: string, perSecond: number): void {
-        this.storeLimit(endpoint, { perSecond, receivedAt: this.clock.now() });
+        this.applyResponse(endpoint, perSecond);
     }
 
     /**
@@ -98,7 +100,7 @@
     recordNoLimit(endpoint: string, sentAt: Milliseconds): void {
         const limit = this.receivedLimits.get(endpoint);
         if (limit?.perSecond !== undefined && sentAt > limit.receivedAt) {
-            this.storeLimit(endpoint, { perSecond: undefined, receivedAt: this.clock.now() });
+            this.applyResponse(endpoint, undefined);
         }
     }
 
@@ -140,6 +142,14 @@
         return Math.floor(requestCount / knownCount) + Number(this.entries.rank(endpoint) < requestCount % knownCount);
     }
 
+    private applyResponse(endpoint: string, perSecond: number | undefined): void {
+        const before = this.limitOf(endpoint);
+        this.storeLimit(endpoint, { perSecond, receivedAt: this.clock.now() });
+        if (perSecond !== before) {
+            this.onChange();
+        }
+    }
+
     private storeLimit(endpoint: string, limit: ReceivedLimit): void {
         const before = this.limitOf(endpoint);
         this.receivedLimits.set(endpoint, limit);
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -109,6 +109,7 @@
         this.limits = new EndpointLimits(clock, log("directory"), this.membership);
         this.pauses = new EndpointPauses(clock, log("directory"));
         this.reportedStates = new ReportedStates(clock, log("directory"));
+        this.limits.onChange = () => this.peers.publishEndpointReport();
         const selector = new EndpointSelector(this.loads, this.failures, random, dependencies.policy);
         const { directory, loads, metrics, peers } = this;
         const coldBudget = new ColdBudget(clock, dependencies.coldLimits, this.membership);
--- a/src/core/membership/heartbeatSender.ts
+++ b/src/core/membership/heartbeatSender.ts
@@ -46,15 +46,17 @@
 export class HeartbeatSender {
     private initialHeartbeatsSent = 0;
     private remoteHeartbeatAt: Milliseconds = -Infinity;
+    private lastInterval = heartbeatInterval;
 
     constructor(private readonly dependencies: HeartbeatSenderDependencies) {}
 
     /** Sends one heartbeat and returns the time until the next. `isWatcher`: all entries depend on this one's store watch. */
     send(isWatcher: boolean): Milliseconds {
-        const { clock, sender, registry, activeRequestIds } = this.dependencies;
+        const { clock, sender, activeRequestIds } = this.dependencies;
         const { everyone, self } = this.dependencies.placers();
         const defaultInterval = everyone || self ? heartbeatInterval : rareHeartbeatInterval;
         const interval = isWatcher ? watcherHeartbeatInterval : defaultInterval;
+        this.lastInterval = interval;
         if (this.initialHeartbeatsSent < initialHeartbeatCount) {
             this.initialHeartbeatsSent++;
             sender.sendToAll(this.createHeartbeat(interval, activeRequestIds()));
@@ -64,10 +66,7 @@
         if (!everyone) {
             sender.sendTo(this.dependentAddresses(), [this.createHeartbeat(interval, activeRequestIds())]);
         }
-        const remoteInterval = Math.max(
-            minimumRemoteHeartbeatInterval,
-            remoteHeartbeatIntervalPerEntry * (registry.living().length + 1),
-        );
+        const { remoteInterval } = this;
         if (isWatcher || clock.now() - this.remoteHeartbeatAt >= remoteInterval - interval / 2) {
             this.remoteHeartbeatAt = clock.now();
             sender.sendToOtherGroups(this.createHeartbeat(isWatcher ? interval : remoteInterval, undefined), 0);
@@ -75,6 +74,24 @@
         return interval;
     }
 
+    /** Sends this entry's status to all entries without waiting for the next heartbeat. */
+    sendStatusAhead(): void {
+        const { sender, placers } = this.dependencies;
+        const status = this.createHeartbeat(this.lastInterval, undefined);
+        sender.sendToOwnGroup(status, 0);
+        if (!placers().everyone) {
+            sender.sendTo(this.dependentAddresses(), [status]);
+        }
+        sender.sendToOtherGroups(this.createHeartbeat(this.remoteInterval, undefined), 0);
+    }
+
+    private get remoteInterval(): Milliseconds {
+        return Math.max(
+            minimumRemoteHeartbeatInterval,
+            remoteHeartbeatIntervalPerEntry * (this.dependencies.registry.living().length + 1),
+        );
+    }
+
     /** Creates a heartbeat message; the defaults are for the response to a greeting. */
     createHeartbeat(
         nextIn = heartbeatInterval,
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -36,6 +36,8 @@
 const inProgressSlack: Milliseconds = 300;
 /** Time after the start in which the others learn of this entry, so that their placements don't reach it yet. */
 const joinDuration: Milliseconds = 1_000;
+/** Reports of endpoints that arrive within this time are announced together. */
+const reportBatchingDelay: Milliseconds = 20;
 /** Interval at which an entry that starts checks whether it is able to choose endpoints. */
 const readinessPollInterval: Milliseconds = 50;
 
@@ -85,6 +87,7 @@
     private startedAt: Milliseconds = Infinity;
     /** Whether this entry was able to choose endpoints when it sent its last heartbeat. */
     private announcedPlacing = false;
+    private isReportDue = false;
     private readonly registry: PeerRegistry;
     private readonly sender: UpdateSender;
     private readonly roster: PlacerRoster;
@@ -247,6 +250,21 @@
         }
     }
 
+    /**
+     * Announces what an endpoint newly reported about itself. Until the next heartbeats, which take a second and a half
+     * by way of a placer, the other entries would send to an overloaded endpoint as before.
+     */
+    publishEndpointReport(): void {
+        if (this.isReportDue) {
+            return;
+        }
+        this.isReportDue = true;
+        this.dependencies.clock.after(reportBatchingDelay, () => {
+            this.isReportDue = false;
+            this.heartbeats.sendStatusAhead();
+        });
+    }
+
     /** Announces this entry's shutdown. */
     publishStopping(): void {
         this.sender.broadcast({ type: "Stopping" }, noBatching);
