An endpoint that asks for a pause gets nothing from the entry that it asked

What callers saw: nothing yet.

Cause: Retry-After of an endpoint's 503 was read by nobody. The refusal was remembered for the refused request alone, and otherwise weighed a quarter in the choice, so the endpoint that had just been emptied looked cheapest again within a second. Class: what an endpoint says of itself in an answer bounds nothing unless some way to it happens to read it.

A prompt that waited for memory asks once more before it is sent. A request that finds all endpoints paused is refused at once and told when the first pause ends, spread over a quarter more; a refused one whose second try has nowhere to go, too.

--- a/__tests__/forwarding/placementClient.test.ts
+++ b/__tests__/forwarding/placementClient.test.ts
@@ -2,6 +2,7 @@
 import { expect, test } from "vitest";
 import { ColdBudget } from "../../src/core/budgets/coldBudget.js";
 import { EndpointLimits } from "../../src/core/budgets/endpointLimits.js";
+import { EndpointPauses } from "../../src/core/budgets/endpointPauses.js";
 import { EndpointDirectory } from "../../src/core/membership/endpointDirectory.js";
 import { ReportedStates } from "../../src/core/membership/reportedStates.js";
 import { Metrics } from "../../src/core/metrics.js";
@@ -58,7 +59,6 @@
             processors: 1,
             places: true,
         }));
-        const limits = new EndpointLimits(clock, silentLog, { knownCount: 9, rank: () => 5 });
         this.client = new PlacementClient({
             clock,
             log: silentLog,
@@ -69,10 +69,10 @@
                 clock,
                 directory,
                 coldBudget: new ColdBudget(clock, () => ({ factor: 1, extra: 0 }), { budgetDivisor: 9, rank: () => 5 }),
-                limits,
+                limits: new EndpointLimits(clock, silentLog, { knownCount: 9, rank: () => 5 }),
+                pauses: new EndpointPauses(clock, silentLog),
                 reportedStates: new ReportedStates(clock, silentLog),
             }),
-            limits,
             selector: new EndpointSelector(loads, new FailureTracker(clock), seededRandom(1)),
             loads,
             peers: {
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -113,8 +113,8 @@
         const selector = new EndpointSelector(this.loads, this.failures, random, dependencies.policy);
         const { directory, loads, metrics, peers } = this;
         const coldBudget = new ColdBudget(clock, dependencies.coldLimits, this.membership);
-        const { limits, reportedStates } = this;
-        const eligibility = new Eligibility({ clock, directory, coldBudget, limits, reportedStates });
+        const { limits, pauses, reportedStates } = this;
+        const eligibility = new Eligibility({ clock, directory, coldBudget, limits, pauses, reportedStates });
         this.placementClient = new PlacementClient({
             clock,
             log: log("placing"),
@@ -122,7 +122,6 @@
             entry: self.id,
             directory,
             eligibility,
-            limits,
             selector,
             loads,
             peers,
@@ -150,6 +149,7 @@
             failureTracker: this.failures,
             retryBudget: new SharedRetryBudget(clock, dependencies.retryLimits, () => this.membership.budgetDivisor),
             coldBudget,
+            eligibility,
             endpointLimits: this.limits,
             endpointPauses: this.pauses,
             reportedStates: this.reportedStates,
--- a/src/core/forwarding/endpointSearch.ts
+++ b/src/core/forwarding/endpointSearch.ts
@@ -6,7 +6,13 @@
 import { FailureKind } from "../failures.js";
 import { exceedsOneEngine, type Placement } from "../placement/endpointSelector.js";
 import type { PlacementRequest } from "../placement/placementClient.js";
-import { type Rejection, rejectLateFirstEvent, rejectUnfinishedAtStop, rejectWithoutEndpoint } from "./overload.js";
+import {
+    busyRetrySeconds,
+    type Rejection,
+    rejectLateFirstEvent,
+    rejectUnfinishedAtStop,
+    rejectWithoutEndpoint,
+} from "./overload.js";
 import { maximumMemoryRetryDelay, type RequestProgress } from "./requestProgress.js";
 
 /**
@@ -54,9 +60,20 @@
         return { id: this.progress.request.id, requirements, endsBy: deadline };
     }
 
+    /** When the caller of a request that an endpoint refused should return. */
+    get retryDelaySeconds(): number {
+        const hasCandidates = this.progress.dependencies.placementClient.candidates(this.placementRequest).length > 0;
+        return hasCandidates ? busyRetrySeconds : this.rejectWithoutEndpoint().retryAfterSeconds;
+    }
+
+    private rejectWithoutEndpoint(): Rejection {
+        const { placementClient, random } = this.progress.dependencies;
+        const timeUntilCapacity = placementClient.timeUntilCapacity(this.placementRequest);
+        return rejectWithoutEndpoint(this.progress.admission.service.name, timeUntilCapacity, random);
+    }
+
     /** Resolves with undefined when no endpoint has enough free memory now but some may become free soon. */
     private async choosePlacement(): Promise<Placement | undefined> {
-        const { service } = this.progress.admission;
         const placement = await this.progress.dependencies.placementClient.choose(this.placementRequest);
         if (!placement && this.progress.attempts.endpointsWithoutMemory.size > 0 && !this.progress.ended.aborted) {
             this.progress.attempts.clearMemoryShortages();
@@ -66,10 +83,7 @@
             return undefined;
         }
         if (!placement) {
-            const { detail, retryAfterSeconds } = rejectWithoutEndpoint(
-                service.name,
-                this.progress.dependencies.placementClient.timeUntilCapacity(this.placementRequest),
-            );
+            const { detail, retryAfterSeconds } = this.rejectWithoutEndpoint();
             throw this.progress.createFailure(FailureKind.NoEndpoint, detail, retryAfterSeconds);
         }
         return this.acceptOrReject(placement);
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -13,6 +13,7 @@
 import type { EndpointReports } from "../membership/endpointReports.js";
 import type { ReportedStates } from "../membership/reportedStates.js";
 import type { Metrics } from "../metrics.js";
+import type { Eligibility } from "../placement/eligibility.js";
 import type { FailureTracker } from "../placement/failureTracker.js";
 import type { PlacementClient } from "../placement/placementClient.js";
 import type { SharedLoadEstimator } from "../placement/sharedLoadEstimator.js";
@@ -38,6 +39,7 @@
     failureTracker: FailureTracker;
     retryBudget: SharedRetryBudget;
     coldBudget: ColdBudget;
+    eligibility: Eligibility;
     endpointLimits: EndpointLimits;
     endpointPauses: EndpointPauses;
     reportedStates: ReportedStates;
--- a/src/core/forwarding/overload.ts
+++ b/src/core/forwarding/overload.ts
@@ -6,6 +6,7 @@
  */
 import { RequestKind, type Route } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
+import type { Random } from "../../utils/random.js";
 import { FailureKind } from "../failures.js";
 import type { PlannedStop } from "./forwardingDependencies.js";
 
@@ -13,6 +14,11 @@
 export const busyRetrySeconds = 0.25;
 /** Retry-After while a service has no usable endpoint: about one heartbeat interval of the endpoints. */
 export const noEndpointRetrySeconds = 1;
+/**
+ * Callers that wait for the same endpoint return spread over a part of the time that it still needs, as they would
+ * overload it again if they came together.
+ */
+const returnSpreadRatio = 0.25;
 /** Retry-After for a retry at another entry: almost at once, but not in step with all other callers. */
 const stoppingRetrySeconds = 0.1;
 /**
@@ -96,16 +102,20 @@
 };
 
 /**
- * Creates the rejection for a request when no endpoint of `service` is usable. `timeUntilCapacity` is when an endpoint that is
- * at its limit for this entry accepts the next request. Callers wait no longer than without any endpoint, since another entry
- * may have capacity earlier.
+ * Creates the rejection for a request when no endpoint of `service` is usable. `timeUntilCapacity` is when an endpoint that
+ * accepts nothing from this entry now accepts the next request. A caller that returned earlier would be rejected again.
  */
-export const rejectWithoutEndpoint = (service: string, timeUntilCapacity: Milliseconds | undefined): Rejection => {
+export const rejectWithoutEndpoint = (
+    service: string,
+    timeUntilCapacity: Milliseconds | undefined,
+    random: Random,
+): Rejection => {
     if (timeUntilCapacity === undefined) {
         const detail = `no endpoint of ${service} is usable`;
         return { kind: FailureKind.NoEndpoint, detail, retryAfterSeconds: noEndpointRetrySeconds };
     }
-    const retryDelaySeconds = Math.min(noEndpointRetrySeconds, Math.max(busyRetrySeconds, timeUntilCapacity / 1_000));
+    const spreadDelay = timeUntilCapacity * (1 + returnSpreadRatio * random.next());
+    const retryDelaySeconds = Math.max(busyRetrySeconds, spreadDelay / 1_000);
     return {
         kind: FailureKind.NoEndpoint,
         detail: `the endpoints of ${service} accept no more requests from this entry now`,
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -15,7 +15,7 @@
 import type { Admission } from "./admission.js";
 import { EndpointSearch } from "./endpointSearch.js";
 import type { ForwardingDependencies } from "./forwardingDependencies.js";
-import { busyRetrySeconds, callerPatience, noEndpointRetrySeconds } from "./overload.js";
+import { callerPatience, noEndpointRetrySeconds } from "./overload.js";
 import { RequestProgress } from "./requestProgress.js";
 import { type DispatchOutcome, Sender } from "./sender.js";
 
@@ -92,6 +92,10 @@
                 attempts.recordMemoryShortage(outcome.endpointsWithoutMemory);
                 await this.progress.waitBeforeMemoryRetry();
                 return false;
+            case "Withdrawn":
+                attempts.excludeLastFromCount();
+                this.progress.log("An endpoint accepts no more requests.", endpoint, {});
+                return false;
             case "Unreached":
                 this.recordUnreached(endpoint, outcome.connectionRefused);
                 attempts.excludeLastFromCount();
@@ -326,7 +330,7 @@
         ) {
             return;
         }
-        throw this.progress.createFailure(kind, detail, busyRetrySeconds);
+        throw this.progress.createFailure(kind, detail, this.search.retryDelaySeconds);
     }
 
     /**
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -63,7 +63,9 @@
     /** The endpoint stalled beyond the timeout, and the request is sent to another one. */
     | { type: "Silent"; reason: string; }
     /** These endpoints could not reserve memory; nothing was sent. */
-    | { type: "NoMemory"; endpointsWithoutMemory: string[]; };
+    | { type: "NoMemory"; endpointsWithoutMemory: string[]; }
+    /** The endpoint, or a helper, stopped accepting requests while memory was reserved; nothing was sent. */
+    | { type: "Withdrawn"; };
 
 const stallReason = (timeout: Milliseconds): string => `nothing received for ${Math.round(timeout)} ms`;
 
@@ -92,6 +94,10 @@
             this.finish();
             return { type: "NoMemory", endpointsWithoutMemory };
         }
+        if (this.hold && !this.isStillEligible()) {
+            this.finish();
+            return { type: "Withdrawn" };
+        }
         const end = () => abortQuietly(this.abortController);
         signal.addEventListener("abort", end, { once: true });
         if (signal.aborted) {
@@ -119,6 +125,11 @@
         return report => endpointReports.record(endpoint, report, sentAt);
     }
 
+    private isStillEligible(): boolean {
+        const { endpoint, helpers } = this.dispatch.placement;
+        return [endpoint, ...helpers].every(member => this.dependencies.eligibility.isStillEligible(member));
+    }
+
     /** Reserves the memory of the placement. Resolves with the endpoints that lack it; empty when all of it is reserved. */
     private async reserveMemory(): Promise<string[]> {
         const { placement, request, attemptNumber } = this.dispatch;
--- a/src/core/membership/endpointDirectory.ts
+++ b/src/core/membership/endpointDirectory.ts
@@ -75,11 +75,6 @@
         return found;
     }
 
-    /** Whether a request that waited after its placement may still be sent to `endpoint`. */
-    isStillUsable(endpoint: KnownEndpoint): boolean {
-        return this.usable(endpoint.record.service).includes(endpoint);
-    }
-
     get(id: string): KnownEndpoint | undefined {
         return this.endpointById.get(id);
     }
--- a/src/core/placement/eligibility.ts
+++ b/src/core/placement/eligibility.ts
@@ -3,9 +3,10 @@
  * about themselves, and by this entry's shares of their limits. Every way to an endpoint asks here.
  */
 import type { ServiceDefinition } from "../../types/routing.js";
-import type { Clock } from "../../utils/clock.js";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { ColdBudget } from "../budgets/coldBudget.js";
 import { Allowance, type EndpointLimits } from "../budgets/endpointLimits.js";
+import type { EndpointPauses } from "../budgets/endpointPauses.js";
 import type { EndpointDirectory, KnownEndpoint } from "../membership/endpointDirectory.js";
 import type { ReportedStates } from "../membership/reportedStates.js";
 
@@ -21,6 +22,7 @@
     directory: EndpointDirectory;
     coldBudget: ColdBudget;
     limits: EndpointLimits;
+    pauses: EndpointPauses;
     reportedStates: ReportedStates;
 }
 
@@ -43,6 +45,7 @@
         const { coldBudget, directory, limits } = this.dependencies;
         const available = directory.usable(service.name).filter(endpoint =>
             endpoint.record.id !== excludedEndpoint
+            && this.accepts(endpoint)
             && (!this.isCold(endpoint) || coldBudget.allows(endpoint.record.id, service.coldRequestsPerSecond))
         );
         const withinLimit = available.filter(({ record }) => limits.allows(record.id, Allowance.Named));
@@ -50,4 +53,45 @@
             ? withinLimit
             : available.filter(({ record }) => limits.allows(record.id, Allowance.Excess));
     }
+
+    /** Whether a request that waited after its placement may still be sent to `endpoint`. */
+    isStillEligible(endpoint: KnownEndpoint): boolean {
+        const { id, service } = endpoint.record;
+        const current = this.dependencies.directory.usable(service).find(({ record }) => record.id === id);
+        return current !== undefined && this.accepts(current);
+    }
+
+    /**
+     * Endpoints of the service that may receive no request from this entry now, although they are listed as usable and
+     * are not cold.
+     */
+    exhaustedEndpoints(service: ServiceDefinition, candidates: readonly KnownEndpoint[]): string[] {
+        const candidateIds = new Set(candidates.map(({ record }) => record.id));
+        return this.dependencies.directory.usable(service.name)
+            .filter(endpoint => !candidateIds.has(endpoint.record.id) && !this.isCold(endpoint))
+            .map(({ record }) => record.id);
+    }
+
+    /**
+     * Time until an endpoint that is paused, or has received this entry's share of its limit, accepts the next request.
+     * Undefined where there is no such endpoint.
+     */
+    timeUntilCapacity(service: ServiceDefinition): Milliseconds | undefined {
+        const waits = this.dependencies.directory.usable(service.name).map(endpoint => this.waitFor(endpoint))
+            .filter(wait => wait !== undefined);
+        return waits.length === 0 ? undefined : Math.min(...waits);
+    }
+
+    private waitFor({ record }: KnownEndpoint): Milliseconds | undefined {
+        const { limits, pauses } = this.dependencies;
+        const pause = pauses.remaining(record);
+        if (!limits.allows(record.id, Allowance.Named)) {
+            return Math.max(pause, limits.timeUntilCapacity(record.id));
+        }
+        return pause > 0 ? pause : undefined;
+    }
+
+    private accepts({ record }: KnownEndpoint): boolean {
+        return this.dependencies.pauses.remaining(record) === 0;
+    }
 }
--- a/src/core/placement/placementClient.ts
+++ b/src/core/placement/placementClient.ts
@@ -7,7 +7,6 @@
  */
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
-import { Allowance, type EndpointLimits } from "../budgets/endpointLimits.js";
 import type { EndpointDirectory, KnownEndpoint } from "../membership/endpointDirectory.js";
 import type { PlacerCandidate } from "../membership/placers.js";
 import type { Metrics } from "../metrics.js";
@@ -55,7 +54,6 @@
     entry: string;
     directory: EndpointDirectory;
     eligibility: Eligibility;
-    limits: EndpointLimits;
     selector: EndpointSelector;
     loads: SharedLoadEstimator;
     peers: PlacerPeers;
@@ -151,20 +149,9 @@
         return this.dependencies.eligibility.candidates(service, excludedEndpoint);
     }
 
-    /** Time until an endpoint at its limit has capacity again; undefined where no endpoint is at its limit. */
+    /** Time until an endpoint that accepts nothing from this entry now accepts the next request; undefined without one. */
     timeUntilCapacity({ requirements: { service } }: PlacementRequest): Milliseconds | undefined {
-        const endpointsAtLimit = this.endpointsAtLimit(service.name);
-        return endpointsAtLimit.length === 0
-            ? undefined
-            : Math.min(...endpointsAtLimit.map(id => this.dependencies.limits.timeUntilCapacity(id)));
-    }
-
-    /** Endpoints that have received this entry's share of their advertised limit. */
-    private endpointsAtLimit(service: string): string[] {
-        const { directory, limits } = this.dependencies;
-        return directory.usable(service).map(({ record }) => record.id).filter(id =>
-            !limits.allows(id, Allowance.Named)
-        );
+        return this.dependencies.eligibility.timeUntilCapacity(service);
     }
 
     private chooseLocally(request: PlacementRequest): Placement | undefined {
@@ -260,7 +247,6 @@
         void dataCentre;
         const now = clock.now();
         const candidates = this.candidates(request);
-        const allowedIds = new Set(candidates.map(({ record }) => record.id));
         const coldCandidates = candidates.filter(candidate => eligibility.isCold(candidate));
         return {
             ...unchangedRequirements,
@@ -271,7 +257,7 @@
             refused: [...rejectedEndpoints],
             lacking: [...endpointsWithoutMemory],
             cold: coldCandidates.map(({ record }) => record.id),
-            spent: this.endpointsAtLimit(service.name).filter(id => !allowedIds.has(id)),
+            spent: eligibility.exhaustedEndpoints(service, candidates),
             endsIn: request.endsBy - now,
             without: excludedEndpoint,
         };
--- a/src/core/placement/placementQuestion.ts
+++ b/src/core/placement/placementQuestion.ts
@@ -18,7 +18,7 @@
     lacking: string[];
     /** Cold endpoints to which the asking entry may send now. */
     cold: string[];
-    /** Endpoints that have received the asking entry's share of their advertised limit. */
+    /** Endpoints that accept no request from the asking entry now: it has used up its share, or they asked it for a pause. */
     spent: string[];
     /** Time until the request has ended at the latest. */
     endsIn: Milliseconds;
--- a/src/core/placement/placementServer.ts
+++ b/src/core/placement/placementServer.ts
@@ -62,16 +62,16 @@
     }
 
     /**
-     * Applies the limits that only the asking entry knows: how many requests it may send to cold endpoints and to
-     * endpoints with an advertised limit. Both entries know everything else.
+     * Applies what only the asking entry knows: how many requests it may send to cold endpoints and to endpoints with an
+     * advertised limit, and which endpoints have asked it for a pause. Both entries know everything else.
      */
     private candidates({ service, without, cold, spent }: PlacementQuestion): KnownEndpoint[] {
         const { directory, eligibility } = this.dependencies;
         const allowedColdEndpoints = new Set(cold);
-        const endpointsAtLimit = new Set(spent);
+        const exhaustedEndpoints = new Set(spent);
         return directory.usable(service).filter(endpoint => {
             const { id } = endpoint.record;
-            return id !== without && !endpointsAtLimit.has(id)
+            return id !== without && !exhaustedEndpoints.has(id)
                 && (!eligibility.isCold(endpoint) || allowedColdEndpoints.has(id));
         });
     }
