--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -98,6 +98,8 @@
                 dependencies.publishesPlacements && this.forwarder.isReady && dependencies.plannedStop() === undefined,
             limits: () => this.limits.snapshot(),
             onLimits: advertised => this.limits.merge(advertised),
+            reportedStates: () => this.reportedStates.snapshot(),
+            onReportedStates: states => this.reportedStates.merge(states),
             onOutcome: (endpoint, fate) => this.applyPeerOutcome(endpoint, fate),
             onPlacementAsked: (from, question) => placementServer.answer(from, question),
             onPlacementAnswered: answer => this.placementClient.receiveAnswer(answer),
@@ -110,6 +112,7 @@
         this.pauses = new EndpointPauses(clock, log("directory"));
         this.reportedStates = new ReportedStates(clock, log("directory"));
         this.limits.onChange = () => this.peers.publishEndpointReport();
+        this.reportedStates.onChange = () => this.peers.publishEndpointReport();
         const selector = new EndpointSelector(this.loads, this.failures, random, dependencies.policy);
         const { directory, loads, metrics, peers } = this;
         const coldBudget = new ColdBudget(clock, dependencies.coldLimits, this.membership);
--- a/src/core/membership/reportedStates.ts
+++ b/src/core/membership/reportedStates.ts
@@ -26,6 +26,8 @@
 
 /** States that endpoints reported to this entry or to another one. */
 export class ReportedStates {
+    /** Called when a response to this entry reports a new state. */
+    onChange: () => void = () => {};
     private readonly stateByEndpoint = new Map<string, KnownState>();
 
     constructor(private readonly clock: Clock, private readonly log: PartLog) {}
@@ -47,13 +49,21 @@
 
     /** Records that `endpoint` shuts down. */
     recordLeaving(endpoint: EndpointRecord): void {
+        const wasLeaving = this.isLeaving(endpoint);
         this.update(endpoint.id, endpoint.incarnation, { isLeaving: true, coldUntil: 0 }, this.clock.now());
+        if (!wasLeaving) {
+            this.onChange();
+        }
     }
 
     /** Records that `endpoint` stays cold for `duration`. */
     recordCold(endpoint: EndpointRecord, duration: Milliseconds): void {
         const now = this.clock.now();
+        const wasCold = this.coldUntil(endpoint) > now;
         this.update(endpoint.id, endpoint.incarnation, { isLeaving: false, coldUntil: now + duration }, now);
+        if (!wasCold) {
+            this.onChange();
+        }
     }
 
     /** Returns the states to send to other entries. */
--- a/src/core/placement/eligibility.ts
+++ b/src/core/placement/eligibility.ts
@@ -30,6 +30,11 @@
 export class Eligibility {
     constructor(private readonly dependencies: EligibilityDependencies) {}
 
+    /** Whether `endpoint` has reported to any entry that it shuts down. */
+    isLeaving({ record }: KnownEndpoint): boolean {
+        return this.dependencies.reportedStates.isLeaving(record);
+    }
+
     /** Whether `endpoint` is cold by its record or by its own reports. */
     isCold({ record, coldUntil }: KnownEndpoint): boolean {
         const { clock, reportedStates } = this.dependencies;
@@ -83,7 +88,10 @@
     }
 
     private waitFor({ record }: KnownEndpoint): Milliseconds | undefined {
-        const { limits, pauses } = this.dependencies;
+        const { limits, pauses, reportedStates } = this.dependencies;
+        if (reportedStates.isLeaving(record)) {
+            return undefined;
+        }
         const pause = pauses.remaining(record);
         if (!limits.allows(record.id, Allowance.Named)) {
             return Math.max(pause, limits.timeUntilCapacity(record.id));
@@ -92,6 +100,7 @@
     }
 
     private accepts({ record }: KnownEndpoint): boolean {
-        return this.dependencies.pauses.remaining(record) === 0;
+        const { pauses, reportedStates } = this.dependencies;
+        return !reportedStates.isLeaving(record) && pauses.remaining(record) === 0;
     }
 }
--- a/src/core/placement/placementServer.ts
+++ b/src/core/placement/placementServer.ts
@@ -71,7 +71,7 @@
         const exhaustedEndpoints = new Set(spent);
         return directory.usable(service).filter(endpoint => {
             const { id } = endpoint.record;
-            return id !== without && !exhaustedEndpoints.has(id)
+            return id !== without && !exhaustedEndpoints.has(id) && !eligibility.isLeaving(endpoint)
                 && (!eligibility.isCold(endpoint) || allowedColdEndpoints.has(id));
         });
     }
