--- a/src/core/membership/endpointReports.ts
+++ b/src/core/membership/endpointReports.ts
@@ -23,7 +23,7 @@
         else if (mayLiftLimit) {
             this.limits.recordNoLimit(endpoint.id, sentAt);
         }
-        if (coldFor !== undefined && coldFor > 0 && !mayLiftLimit) {
+        if (coldFor !== undefined && coldFor > 0) {
             this.states.recordCold(endpoint, coldFor);
         }
         if (retryAfter !== undefined && retryAfter > 0) {
