A choice looks at 256 endpoints at most; the checks of a request's endpoints take one pass

Change: restrictions of the few endpoints that have any are found in one pass, chosen ids are looked up directly, and a request that goes to one endpoint draws one candidate from each of 256 parts of the list. Up to 256 endpoints nothing changes, nor for prompts of a team.

--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -556,3 +556,28 @@
     const placement = fixture.selector.select(fixture.requirements(400_000), fixture.endpoints)!;
     expect(placement).toMatchObject({ postponed: false, firstEventAfterWait: undefined });
 });
+
+test("choice among thousands of endpoints looks at a few hundred", () => {
+    // Guards against a placer that spends milliseconds on each choice of a large site.
+    const fixture = new Fixture(3_000);
+    const seen = new Set<string>();
+    const { loadOf } = fixture.sharedLoads;
+    fixture.sharedLoads.loadOf = endpoint => {
+        seen.add(endpoint);
+        return loadOf.call(fixture.sharedLoads, endpoint);
+    };
+    for (let index = 0; index < 20; index++) {
+        seen.clear();
+        expect(fixture.place(4_000).firstEvent).toBeLessThan(300);
+        expect(seen.size).toBeLessThanOrEqual(256);
+    }
+});
+
+test("choice among thousands finds the one endpoint that hasn't rejected the request", () => {
+    // Guards against a refusal because the few hundred that were looked at had all rejected the request.
+    const fixture = new Fixture(3_000);
+    const ids = fixture.endpoints.map(({ record }) => record.id);
+    const rejectedEndpoints = new Set(ids.filter(id => id !== "e-1234"));
+    const requirements = fixture.requirements(4_000, { rejectedEndpoints });
+    expect(fixture.selector.select(requirements, fixture.endpoints)?.endpoint.record.id).toBe("e-1234");
+});
--- a/src/core/membership/endpointDirectory.ts
+++ b/src/core/membership/endpointDirectory.ts
@@ -75,6 +75,12 @@
         return found;
     }
 
+    /** Whether `endpoint` may receive new work of `service`. */
+    isUsable(endpoint: KnownEndpoint, service: string): boolean {
+        const isExpired = endpoint.expiresAt !== undefined && this.clock.now() >= endpoint.expiresAt;
+        return !isExpired && this.endpointById.get(endpoint.record.id) === endpoint && this.mayServe(endpoint, service);
+    }
+
     get(id: string): KnownEndpoint | undefined {
         return this.endpointById.get(id);
     }
--- a/src/core/placement/eligibility.ts
+++ b/src/core/placement/eligibility.ts
@@ -16,6 +16,19 @@
  */
 const minimumShareWithinLimit = 0.5;
 
+/** Usable endpoints of a service that this entry may not, or hardly, use now; all others are available. */
+export interface Restrictions {
+    /** Endpoints that shut down, that are paused, or that have received this entry's share of their limit. */
+    readonly exhausted: ReadonlySet<string>;
+    /** Cold endpoints that may receive no request from this entry now. */
+    readonly forbiddenCold: ReadonlySet<string>;
+    /** Cold endpoints that may receive a request from this entry now. */
+    readonly allowedCold: ReadonlySet<string>;
+}
+
+const isExcluded = ({ exhausted, forbiddenCold }: Restrictions, id: string): boolean =>
+    exhausted.has(id) || forbiddenCold.has(id);
+
 /** Dependencies of {@link Eligibility}. */
 export interface EligibilityDependencies {
     clock: Clock;
@@ -41,40 +54,70 @@
         return clock.now() < Math.max(coldUntil, reportedStates.coldUntil(record));
     }
 
-    /**
-     * Returns the endpoints that may receive a request from this entry now. Where most endpoints have reached their
-     * advertised limit, those that tolerate some excess are included: the few others would be overloaded, and callers
-     * rejected.
-     */
+    /** Returns the endpoints that may receive a request from this entry now. */
     candidates(service: ServiceDefinition, excludedEndpoint?: string): KnownEndpoint[] {
-        const { coldBudget, directory, limits } = this.dependencies;
-        const available = directory.usable(service.name).filter(endpoint =>
-            endpoint.record.id !== excludedEndpoint
-            && this.accepts(endpoint)
-            && (!this.isCold(endpoint) || coldBudget.allows(endpoint.record.id, service.coldRequestsPerSecond))
+        const restrictions = this.restrictions(service);
+        return this.dependencies.directory.usable(service.name).filter(({ record: { id } }) =>
+            id !== excludedEndpoint && !isExcluded(restrictions, id)
         );
-        const withinLimit = available.filter(({ record }) => limits.allows(record.id, Allowance.Named));
-        return withinLimit.length >= minimumShareWithinLimit * available.length
-            ? withinLimit
-            : available.filter(({ record }) => limits.allows(record.id, Allowance.Excess));
     }
 
-    /** Whether a request that waited after its placement may still be sent to `endpoint`. */
-    isStillEligible(endpoint: KnownEndpoint): boolean {
-        const { id, service } = endpoint.record;
-        const current = this.dependencies.directory.usable(service).find(({ record }) => record.id === id);
-        return current !== undefined && this.accepts(current);
+    /**
+     * Returns the endpoint `id` if it may receive a request from this entry under `restrictions`; undefined otherwise.
+     */
+    find(service: ServiceDefinition, restrictions: Restrictions, id: string): KnownEndpoint | undefined {
+        const { directory } = this.dependencies;
+        const endpoint = directory.get(id);
+        return endpoint && directory.isUsable(endpoint, service.name) && !isExcluded(restrictions, id)
+            ? endpoint
+            : undefined;
     }
 
     /**
-     * Endpoints of the service that may receive no request from this entry now, although they are listed as usable and
-     * are not cold.
+     * Finds the endpoints of `service` that this entry may not use now, in one pass, since there may be thousands.
+     *
+     * Where most endpoints have reached their advertised limit, those that tolerate some excess stay in use: the few
+     * others would be overloaded, and callers rejected.
      */
-    exhaustedEndpoints(service: ServiceDefinition, candidates: readonly KnownEndpoint[]): string[] {
-        const candidateIds = new Set(candidates.map(({ record }) => record.id));
-        return this.dependencies.directory.usable(service.name)
-            .filter(endpoint => !candidateIds.has(endpoint.record.id) && !this.isCold(endpoint))
-            .map(({ record }) => record.id);
+    restrictions(service: ServiceDefinition): Restrictions {
+        const { coldBudget, directory, limits } = this.dependencies;
+        const exhausted = new Set<string>();
+        const forbiddenCold = new Set<string>();
+        const allowedCold = new Set<string>();
+        const atLimit: string[] = [];
+        let availableCount = 0;
+        for (const endpoint of directory.usable(service.name)) {
+            const { id } = endpoint.record;
+            if (!this.accepts(endpoint)) {
+                exhausted.add(id);
+                continue;
+            }
+            if (this.isCold(endpoint)) {
+                if (!coldBudget.allows(id, service.coldRequestsPerSecond)) {
+                    forbiddenCold.add(id);
+                    continue;
+                }
+                allowedCold.add(id);
+            }
+            availableCount++;
+            if (!limits.allows(id, Allowance.Named)) {
+                atLimit.push(id);
+            }
+        }
+        const toleratesExcess = availableCount - atLimit.length < minimumShareWithinLimit * availableCount;
+        for (const id of atLimit) {
+            if (!toleratesExcess || !limits.allows(id, Allowance.Excess)) {
+                exhausted.add(id);
+            }
+        }
+        return { exhausted, forbiddenCold, allowedCold };
+    }
+
+    /** Whether a request that waited after its placement may still be sent to `endpoint`. */
+    isStillEligible(endpoint: KnownEndpoint): boolean {
+        const { directory } = this.dependencies;
+        const current = directory.get(endpoint.record.id);
+        return current !== undefined && directory.isUsable(current, endpoint.record.service) && this.accepts(current);
     }
 
     /**
--- a/src/core/placement/endpointSelector.ts
+++ b/src/core/placement/endpointSelector.ts
@@ -53,6 +53,11 @@
 /** Gain of waiting, relative to the request's value, that outweighs the risk that other requests take the endpoints first. */
 const minimumWaitGain = 0.1;
 
+/**
+ * Most candidates that are looked at for a request that goes to one endpoint. More would hardly give a better one, and with
+ * thousands a placer would spend milliseconds on each choice.
+ */
+const maximumPoolSize = 256;
 /** Lower bound on the sampled candidates: a smaller sample often misses a good endpoint. */
 const minimumSampleSize = 8;
 
@@ -139,6 +144,15 @@
      * centre seems to be lost are used only when there is no other.
      */
     select(requirements: PlacementRequirements, candidates: readonly KnownEndpoint[]): Placement | undefined {
+        const pool = needsTeam(requirements) ? candidates : this.drawPool(candidates);
+        const placement = this.selectFrom(requirements, pool);
+        return placement === undefined && pool !== candidates ? this.selectFrom(requirements, candidates) : placement;
+    }
+
+    private selectFrom(
+        requirements: PlacementRequirements,
+        candidates: readonly KnownEndpoint[],
+    ): Placement | undefined {
         const notRejected = candidates.filter(({ record }) => !requirements.rejectedEndpoints.has(record.id));
         const notFailed = preferMatching(notRejected, ({ record }) => !requirements.failedEndpoints.has(record.id));
         const notBackingOff = preferMatching(notFailed, ({ record }) => !this.failures.isBackingOff(record.id));
@@ -149,6 +163,19 @@
             : this.selectForCall(requirements, preferred);
     }
 
+    /** Draws one candidate from each of as many equal parts of the list as the pool may hold. */
+    private drawPool(candidates: readonly KnownEndpoint[]): readonly KnownEndpoint[] {
+        if (candidates.length <= maximumPoolSize) {
+            return candidates;
+        }
+        const partSize = candidates.length / maximumPoolSize;
+        const pool: KnownEndpoint[] = [];
+        for (let part = 0; part < maximumPoolSize; part++) {
+            pool.push(candidates[Math.floor((part + this.random.next()) * partSize)]!);
+        }
+        return pool;
+    }
+
     private selectForCall(
         requirements: PlacementRequirements,
         candidates: readonly KnownEndpoint[],
@@ -180,7 +207,7 @@
     ): Placement | undefined {
         const prefillTime = prefillDuration(engine, requirements.promptTokens);
         const exceedsMemory = exceedsOneEngine(requirements);
-        const team = prefillTime > minimumPartRatio * requirements.targetLatency || exceedsMemory
+        const team = needsTeam(requirements)
             ? this.selectTeam(requirements, engine, candidates)
             : undefined;
         if (team || exceedsMemory) {
@@ -351,6 +378,14 @@
     }
 }
 
+/** Whether the prompt is so long that several endpoints may have to prefill parts of it. */
+const needsTeam = (requirements: PlacementRequirements): boolean => {
+    const { service: { engine }, promptTokens, targetLatency } = requirements;
+    return engine !== undefined
+        && (exceedsOneEngine(requirements)
+            || prefillDuration(engine, promptTokens) > minimumPartRatio * targetLatency);
+};
+
 /** Steers short prompts to endpoints that decode already, so that other endpoints stay free for long prefills. */
 const packingPenalty = (engine: EngineProfile, load: EndpointLoad): number => {
     const packedSlots = engine.slots - reservedSlots;
--- a/src/core/placement/placementClient.ts
+++ b/src/core/placement/placementClient.ts
@@ -246,8 +246,7 @@
         } = request.requirements;
         void dataCentre;
         const now = clock.now();
-        const candidates = this.candidates(request);
-        const coldCandidates = candidates.filter(candidate => eligibility.isCold(candidate));
+        const { exhausted, allowedCold } = eligibility.restrictions(service);
         return {
             ...unchangedRequirements,
             serial,
@@ -256,8 +255,8 @@
             broken: [...failedEndpoints],
             refused: [...rejectedEndpoints],
             lacking: [...endpointsWithoutMemory],
-            cold: coldCandidates.map(({ record }) => record.id),
-            spent: eligibility.exhaustedEndpoints(service, candidates),
+            cold: [...allowedCold],
+            spent: [...exhausted],
             endsIn: request.endsBy - now,
             without: excludedEndpoint,
         };
@@ -269,11 +268,12 @@
         { endpoint, helpers, shares, ...predictions }: SerializedPlacement,
         excludedEndpoint?: string,
     ): Placement | undefined {
-        const candidateById = new Map(
-            this.candidates(request, excludedEndpoint).map(candidate => [candidate.record.id, candidate]),
-        );
-        const mainEndpoint = candidateById.get(endpoint);
-        const helperEndpoints = helpers.map(id => candidateById.get(id)).filter(helper => helper !== undefined);
+        const { eligibility } = this.dependencies;
+        const { service } = request.requirements;
+        const restrictions = eligibility.restrictions(service);
+        const find = (id: string) => id === excludedEndpoint ? undefined : eligibility.find(service, restrictions, id);
+        const mainEndpoint = find(endpoint);
+        const helperEndpoints = helpers.map(id => find(id)).filter(helper => helper !== undefined);
         if (!mainEndpoint || helperEndpoints.length !== helpers.length) {
             return undefined;
         }
@@ -281,7 +281,7 @@
             ...predictions,
             endpoint: mainEndpoint,
             helpers: helperEndpoints,
-            shares: shares.map(([id, tokens]) => ({ endpoint: candidateById.get(id)!, tokens })),
+            shares: shares.map(([id, tokens]) => ({ endpoint: find(id)!, tokens })),
             recorded: false,
         };
     }
