A request that waits for one of an endpoint's connections fails over when its connecting times out

Found by the search for ways that pass a pause: a request behind an endpoint's 48 busy connections.

What callers saw: they waited for the whole time of the request (1,929 ms of 2,000 in the test) though the entry had given the endpoint up after 100 ms. Nothing reached the endpoint, so no pause was passed.

Cause: Node emits the error of a request that is destroyed without a socket only once one is assigned.

Change: the outcome is settled with the timeout.

--- a/__tests__/forwarding/endpointPauses.test.ts
+++ b/__tests__/forwarding/endpointPauses.test.ts
@@ -6,8 +6,8 @@
 import type { ReplicaServer } from "../../platform/standins/replicaServer.js";
 import { EndpointPauses } from "../../src/core/budgets/endpointPauses.js";
 import { SimulatedClock } from "../../src/replay/simulatedClock.js";
-import { type EndpointRecord, EndpointState } from "../../src/types/routing.js";
 import { silentLog } from "../../src/utils/log.js";
+import { endpointRecord } from "./support/endpointRecord.js";
 import { call, generation, Site, until } from "./support/site.js";
 
 let site: Site;
@@ -119,6 +119,23 @@
     }
 });
 
+test("request that waits for a connection is given up before a pause binds", async () => {
+    // Guards against requests that reach a paused endpoint long after, from the queue behind its busy connections.
+    const maximumConnections = 48;
+    const replica = await site.replica("d-1", "bookings");
+    site.configure(1);
+    const { callers } = await site.start("entry-1");
+    replica.fault = () => true;
+    const calls = Promise.allSettled([...Array(maximumConnections).keys()].map(() => call(callers, "/lookups/a")));
+    await until(() => replica.arrivals.length === maximumConnections);
+    const { status, took } = await call(callers, "/lookups/a");
+    expect(status).toBe(503);
+    expect(took).toBeLessThan(1_000);
+    expect(replica.arrivals).toHaveLength(maximumConnections);
+    await calls;
+    expect(replica.arrivals).toHaveLength(maximumConnections);
+});
+
 const reportOf = (status: number, headers: Record<string, string>) =>
     readEndpointReport(status, name => headers[name], false).retryAfter;
 
@@ -150,16 +167,7 @@
     expect(reportOf(503, { [header.retryAfter]: laterDate })).toBeUndefined();
 });
 
-const endpoint: EndpointRecord = {
-    id: "m-1",
-    service: "models",
-    address: "m-1:80",
-    dataCentre: "north",
-    slots: 4,
-    state: EndpointState.Ready,
-    coldFor: 0,
-    incarnation: 1,
-};
+const endpoint = endpointRecord("m-1");
 
 test("shorter pause doesn't end an earlier one", async () => {
     const clock = new SimulatedClock();
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -70,7 +70,10 @@
             // After a delay of this process itself, the timer may run before an established connection is noticed.
             setImmediate(() => {
                 if (!this.isConnected) {
-                    request.destroy(new Error("the connection timed out"));
+                    this.connectionError = "the connection timed out";
+                    request.destroy(new Error(this.connectionError));
+                    // Node reports the error of a request without a connection only once one is free.
+                    this.settleWithoutResponse();
                 }
             });
         });
