--- a/__tests__/forwarding/reportedStates.test.ts
+++ b/__tests__/forwarding/reportedStates.test.ts
@@ -5,8 +5,8 @@
 import type { ReplicaServer } from "../../platform/standins/replicaServer.js";
 import { ReportedStates } from "../../src/core/membership/reportedStates.js";
 import { SimulatedClock } from "../../src/replay/simulatedClock.js";
-import { type EndpointRecord, EndpointState } from "../../src/types/routing.js";
 import { silentLog } from "../../src/utils/log.js";
+import { endpointRecord } from "./support/endpointRecord.js";
 import { call, eventIds, generation, Site, until } from "./support/site.js";
 
 let site: Site;
@@ -110,16 +110,7 @@
     expect(isLeaving({})).toBe(false);
 });
 
-const endpoint: EndpointRecord = {
-    id: "m-1",
-    service: "models",
-    address: "m-1:80",
-    dataCentre: "north",
-    slots: 4,
-    state: EndpointState.Ready,
-    coldFor: 0,
-    incarnation: 1,
-};
+const endpoint = endpointRecord("m-1");
 
 test("endpoint that shut down is used again after its restart", async () => {
     const clock = new SimulatedClock();
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -154,8 +154,6 @@
             coldBudget,
             eligibility,
             endpointLimits: this.limits,
-            endpointPauses: this.pauses,
-            reportedStates: this.reportedStates,
             endpointReports: new EndpointReports(this.limits, this.pauses, this.reportedStates),
             metrics: this.metrics,
             entryId: self.id,
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -6,12 +6,10 @@
 import type { Random } from "../../utils/random.js";
 import type { ColdBudget } from "../budgets/coldBudget.js";
 import type { EndpointLimits } from "../budgets/endpointLimits.js";
-import type { EndpointPauses } from "../budgets/endpointPauses.js";
 import type { SharedRetryBudget } from "../budgets/sharedRetryBudget.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import type { EndpointDirectory } from "../membership/endpointDirectory.js";
 import type { EndpointReports } from "../membership/endpointReports.js";
-import type { ReportedStates } from "../membership/reportedStates.js";
 import type { Metrics } from "../metrics.js";
 import type { Eligibility } from "../placement/eligibility.js";
 import type { FailureTracker } from "../placement/failureTracker.js";
@@ -41,8 +39,6 @@
     coldBudget: ColdBudget;
     eligibility: Eligibility;
     endpointLimits: EndpointLimits;
-    endpointPauses: EndpointPauses;
-    reportedStates: ReportedStates;
     endpointReports: EndpointReports;
     metrics: Metrics;
     /** Identifier of this entry. */
--- a/src/core/placement/eligibility.ts
+++ b/src/core/placement/eligibility.ts
@@ -48,6 +48,11 @@
         return this.dependencies.reportedStates.isLeaving(record);
     }
 
+    /** Remaining time of the pause that `endpoint` asked this entry for; zero where there is none. */
+    pauseLeft({ record }: KnownEndpoint): Milliseconds {
+        return this.dependencies.pauses.remaining(record);
+    }
+
     /** Whether `endpoint` is cold by its record or by its own reports. */
     isCold({ record, coldUntil }: KnownEndpoint): boolean {
         const { clock, reportedStates } = this.dependencies;
@@ -130,20 +135,20 @@
         return waits.length === 0 ? undefined : Math.min(...waits);
     }
 
-    private waitFor({ record }: KnownEndpoint): Milliseconds | undefined {
-        const { limits, pauses, reportedStates } = this.dependencies;
-        if (reportedStates.isLeaving(record)) {
+    private waitFor(endpoint: KnownEndpoint): Milliseconds | undefined {
+        const { limits } = this.dependencies;
+        if (this.isLeaving(endpoint)) {
             return undefined;
         }
-        const pause = pauses.remaining(record);
-        if (!limits.allows(record.id, Allowance.Named)) {
-            return Math.max(pause, limits.timeUntilCapacity(record.id));
+        const { id } = endpoint.record;
+        const pause = this.pauseLeft(endpoint);
+        if (!limits.allows(id, Allowance.Named)) {
+            return Math.max(pause, limits.timeUntilCapacity(id));
         }
         return pause > 0 ? pause : undefined;
     }
 
-    private accepts({ record }: KnownEndpoint): boolean {
-        const { pauses, reportedStates } = this.dependencies;
-        return !reportedStates.isLeaving(record) && pauses.remaining(record) === 0;
+    private accepts(endpoint: KnownEndpoint): boolean {
+        return !this.isLeaving(endpoint) && this.pauseLeft(endpoint) === 0;
     }
 }
