--- a/__tests__/forwarding/limits.test.ts
+++ b/__tests__/forwarding/limits.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { header } from "../../platform/names.js";
 import { Allowance, EndpointLimits } from "../../src/core/budgets/endpointLimits.js";
+import { ReportedStates } from "../../src/core/membership/reportedStates.js";
 import { readPattern } from "../../src/replay/pattern.js";
 import { replay, type ReplayResult } from "../../src/replay/replay.js";
 import { CallerOutcome } from "../../src/replay/simulatedCaller.js";
@@ -10,6 +11,7 @@
 import type { EndpointArrival } from "../../src/replay/simulatedFleet.js";
 import type { Milliseconds } from "../../src/utils/clock.js";
 import { silentLog } from "../../src/utils/log.js";
+import { endpointRecord } from "./support/endpointRecord.js";
 import { call, Site, until } from "./support/site.js";
 
 let site: Site;
@@ -65,6 +67,8 @@
 const toleratedRequests = (perSecond: number): number => 1.5 * perSecond * countingWindow / 1_000 + 5;
 /** After this delay all entries have received the limit, from the endpoint or from another entry. */
 const propagationDuration: Milliseconds = 1_000;
+/** Half of the largest datagram; the rest is left for the requests in progress. */
+const halfDatagramBytes = 30_000;
 /** An entry that received a limit from the endpoint itself is bound by it after this delay. */
 const limitNoticeDuration: Milliseconds = 500;
 
@@ -221,3 +225,19 @@
         }
     }
 });
+
+test("limits of thousands of endpoints fit into a heartbeat", async () => {
+    // Guards against heartbeats that exceed a datagram, so that the other entries take this one for lost.
+    const clock = new SimulatedClock();
+    const [limits, states] = [limitsOf(6, 0, clock), new ReportedStates(clock, silentLog)];
+    for (let index = 0; index < 4_700; index++) {
+        limits.recordLimit(`i-${index}0123456789`, 1.5);
+        states.recordLeaving(endpointRecord(`i-${index}0123456789`));
+    }
+    await clock.run(1_000);
+    limits.recordLimit("newest", 1.5);
+    states.recordLeaving(endpointRecord("newest"));
+    const shared = [...limits.snapshot(), ...states.snapshot()];
+    expect(JSON.stringify(shared).length).toBeLessThan(halfDatagramBytes);
+    expect(shared.filter(({ endpoint }) => endpoint === "newest")).toHaveLength(2);
+});
--- a/src/core/budgets/endpointLimits.ts
+++ b/src/core/budgets/endpointLimits.ts
@@ -9,6 +9,7 @@
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { KeyedWindows } from "../../utils/keyedWindows.js";
 import type { PartLog } from "../../utils/log.js";
+import { newestReports } from "../membership/newestReports.js";
 
 /** Window over which requests are counted. */
 const countingWindow: Milliseconds = 4_000;
@@ -115,7 +116,7 @@
             }
             limits.push({ endpoint, perSecond, age: Math.round(now - receivedAt) });
         }
-        return limits;
+        return newestReports(limits);
     }
 
     /** Merges limits that another entry sent. */
--- a/src/core/membership/reportedStates.ts
+++ b/src/core/membership/reportedStates.ts
@@ -8,6 +8,7 @@
 import type { EndpointRecord } from "../../types/routing.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
+import { newestReports } from "./newestReports.js";
 
 /** How long a state outlasts a restart of its endpoint. Until then it may be the new process that reported it. */
 const restartGracePeriod: Milliseconds = 10_000;
@@ -81,7 +82,7 @@
                 states.push({ endpoint, incarnation, isLeaving, coldFor, age: Math.round(age) });
             }
         }
-        return states;
+        return newestReports(states);
     }
 
     /** Merges states that another entry sent. */
