One parser of numbers in headers, one grace period over an endpoint's restart

Both stood twice since the reports of endpoints came: in the platform's wire and its report, and in pauses and reported states with the same reason.

--- a/src/core/budgets/endpointPauses.ts
+++ b/src/core/budgets/endpointPauses.ts
@@ -7,9 +7,7 @@
 import type { EndpointRecord } from "../../types/routing.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
-
-/** How long a pause outlasts a restart of its endpoint. Until then it may be the new process that asked for it. */
-const restartGracePeriod: Milliseconds = 10_000;
+import { restartGracePeriod } from "../membership/endpointRestart.js";
 
 interface Pause {
     incarnation: number;
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -2,7 +2,7 @@
  * Sends one attempt of a request to its placement: records the placed work, reserves memory where needed, and detects endpoints
  * that stall.
  */
-import type { AttemptOutcome, EndpointReport, ForwardedRequest, StreamEvent } from "../../ports/forwardingPorts.js";
+import type { AttemptOutcome, ForwardedRequest, ReportListener, StreamEvent } from "../../ports/forwardingPorts.js";
 import { StreamStalledError } from "../../ports/forwardingPorts.js";
 import type { EndpointRecord } from "../../types/routing.js";
 import { RequestKind } from "../../types/routing.js";
@@ -119,7 +119,7 @@
     }
 
     /** Returns a listener for the report in the response to a request that is sent now. */
-    private reportListener(endpoint: EndpointRecord): (report: EndpointReport) => void {
+    private reportListener(endpoint: EndpointRecord): ReportListener {
         const { clock, endpointReports } = this.dependencies;
         const sentAt = clock.now();
         return report => endpointReports.record(endpoint, report, sentAt);
--- a/src/core/membership/reportedStates.ts
+++ b/src/core/membership/reportedStates.ts
@@ -8,10 +8,9 @@
 import type { EndpointRecord } from "../../types/routing.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
+import { restartGracePeriod } from "./endpointRestart.js";
 import { newestReports } from "./newestReports.js";
 
-/** How long a state outlasts a restart of its endpoint. Until then it may be the new process that reported it. */
-const restartGracePeriod: Milliseconds = 10_000;
 /** How long a state is sent to other entries. */
 const sharingDuration: Milliseconds = 30_000;
 /** A state that was not reported again for this long is forgotten; an endpoint has left or warmed up by then. */
--- a/src/utils/headers.ts
+++ b/src/utils/headers.ts
@@ -1,4 +1,5 @@
 /** Functions on raw header lists: names and values alternate, in the order and spelling received. */
+import { parseNonNegativeNumber } from "./numbers.js";
 
 /** Hop-by-hop headers, which are never forwarded. */
 const connectionHeaders = new Set([
@@ -61,3 +62,7 @@
     }
     return names;
 };
+
+/** Parses the value of a header that holds a number of at least 0; undefined where there is none. */
+export const parseNumberHeader = (text: string | undefined): number | undefined =>
+    text === undefined ? undefined : parseNonNegativeNumber(text.trim());
