Logs tell which entry's sends put an endpoint into back-off

Neither the lines nor the metrics said whether an endpoint was avoided because of this entry's sends or another one's, nor whether this entry had reached any endpoint lately, so an endpoint that is lost looked like an entry without links. No decision changes.

--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -11,6 +11,7 @@
 import { minimumPartRatio } from "../../src/core/placement/team.js";
 import { EndpointState, type EngineProfile, type ServiceDefinition } from "../../src/types/routing.js";
 import type { Clock } from "../../src/utils/clock.js";
+import { silentLog } from "../../src/utils/log.js";
 import { seededRandom } from "../../src/utils/random.js";
 
 /** Speeds of a model with 70 billion parameters on four accelerators, as published by its operator. */
@@ -48,7 +49,7 @@
     };
     readonly loads = new LoadEstimator(this.clock, () => engine);
     readonly sharedLoads = new SharedLoadEstimator(this.loads, this.clock);
-    readonly failures = new FailureTracker(this.clock);
+    readonly failures = new FailureTracker(this.clock, silentLog, "entry-0");
     readonly selector: EndpointSelector;
     readonly endpoints: KnownEndpoint[];
     private nextWork = 0;
--- a/__tests__/forwarding/placementClient.test.ts
+++ b/__tests__/forwarding/placementClient.test.ts
@@ -73,7 +73,7 @@
                 pauses: new EndpointPauses(clock, silentLog),
                 reportedStates: new ReportedStates(clock, silentLog),
             }),
-            selector: new EndpointSelector(loads, new FailureTracker(clock), seededRandom(1)),
+            selector: new EndpointSelector(loads, new FailureTracker(clock, silentLog, "entry-1"), seededRandom(1)),
             loads,
             peers: {
                 placersToAsk: () => placers,
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -77,16 +77,18 @@
     readonly forwarder: Forwarder;
     private readonly failures: FailureTracker;
     private readonly placementClient: PlacementClient;
+    readonly id: string;
     /** Address at which this entry receives its peers' datagrams. */
     readonly address: string;
     readonly dataCentre: string;
 
     constructor(dependencies: EntryCoreDependencies) {
         const { clock, random, log, self, dataCentre } = dependencies;
+        this.id = self.id;
         this.address = self.address;
         this.dataCentre = dataCentre;
         this.directory = new EndpointDirectory(clock, log("directory"));
-        this.failures = new FailureTracker(clock);
+        this.failures = new FailureTracker(clock, log("failures"), self.id);
         this.loads = new SharedLoadEstimator(new LoadEstimator(clock, endpoint => this.engineOf(endpoint)), clock);
         this.peers = new Peers({
             clock,
@@ -109,7 +111,7 @@
             onReportedStates: states => this.reportedStates.merge(states),
             crashNews: () => this.quarantine.snapshot(),
             onCrashNews: (from, news) => this.quarantine.merge(from, news),
-            onOutcome: (endpoint, fate) => this.applyPeerOutcome(endpoint, fate),
+            onOutcome: (from, endpoint, fate) => this.applyPeerOutcome(from, endpoint, fate),
             onPlacementAsked: (from, question) => placementServer.answer(from, question),
             onPlacementAnswered: answer => this.placementClient.receiveAnswer(answer),
         });
@@ -205,10 +207,10 @@
         return service === undefined ? undefined : this.configuration.routes?.service(service)?.engine;
     }
 
-    private applyPeerOutcome(id: string, fate: SendResult): void {
+    private applyPeerOutcome(from: string, id: string, fate: SendResult): void {
         const endpoint = this.directory.get(id);
         if (endpoint) {
-            this.failures.applyPeerResult(endpoint, fate);
+            this.failures.applyPeerResult(endpoint, fate, from);
         }
     }
 }
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -73,7 +73,7 @@
     crashNews?: () => CrashNews | undefined;
     onCrashNews?: (from: string, news: CrashNews) => void;
     /** Called with the result of another entry's sends to an endpoint. */
-    onOutcome?: (endpoint: string, fate: SendResult) => void;
+    onOutcome?: (from: string, endpoint: string, fate: SendResult) => void;
     /** Called when another entry asks for the placement of a request, and with the answer to this entry's own question. */
     onPlacementAsked?: (from: string, question: PlacementQuestion) => PlacementAnswer;
     onPlacementAnswered?: (answer: PlacementAnswer) => void;
@@ -343,7 +343,7 @@
                 this.mergeStatus(from.id, { known: update.known, readAges: update.readAges });
                 return;
             case "Outcome":
-                this.dependencies.onOutcome?.(update.endpoint, update.fate);
+                this.dependencies.onOutcome?.(from.id, update.endpoint, update.fate);
                 return;
             case "PlacementAsked":
                 this.answerPlacement(from, update.question);
--- a/src/core/placement/failureTracker.ts
+++ b/src/core/placement/failureTracker.ts
@@ -1,5 +1,6 @@
 /** Tracks each endpoint's recent failures, its back-off, and data centres that seem to be lost. */
 import type { Clock, Milliseconds } from "../../utils/clock.js";
+import type { PartLog } from "../../utils/log.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
 
 /** Half-life of a failure's weight: long enough to span several requests, short enough for an endpoint to recover. */
@@ -58,21 +59,27 @@
     private readonly recordByEndpoint = new Map<string, FailureRecord>();
     private recentLosses: EndpointLoss[] = [];
     private readonly suspectUntilByDataCentre = new Map<string, Milliseconds>();
+    /** When an endpoint last served a request of this entry. */
+    private lastSuccessAt: Milliseconds | undefined;
 
-    constructor(private readonly clock: Clock) {}
+    constructor(private readonly clock: Clock, private readonly log: PartLog, private readonly self: string) {}
 
     /** Records a response with any status that isn't a failure of the endpoint. */
     recordSucceeded({ record: { id, dataCentre } }: KnownEndpoint): void {
         if (this.recordByEndpoint.has(id) || this.isSuspect(dataCentre)) {
             this.publish({ type: "Outcome", endpoint: id, fate: SendResult.Succeeded }, false);
         }
-        this.applySuccess(id, dataCentre);
+        this.lastSuccessAt = this.clock.now();
+        this.applySuccess(id, dataCentre, this.self);
     }
 
-    private applySuccess(id: string, dataCentre: string): void {
+    private applySuccess(id: string, dataCentre: string, reportedBy: string): void {
         this.suspectUntilByDataCentre.delete(dataCentre);
         const record = this.recordByEndpoint.get(id);
         if (record) {
+            if (this.isBackingOff(id)) {
+                this.log.info("A back-off ends early.", { endpoint: id, reportedBy });
+            }
             record.failureShare = this.decayedShare(record) * (1 - outcomeWeight);
             record.updatedAt = this.clock.now();
             record.noResponseCount = 0;
@@ -98,11 +105,11 @@
      */
     recordLost({ record: { id, dataCentre } }: KnownEndpoint): void {
         this.publish({ type: "Outcome", endpoint: id, fate: SendResult.Lost }, false);
-        this.applyLoss(id, dataCentre);
+        this.applyLoss(id, dataCentre, this.self);
     }
 
-    private applyLoss(id: string, dataCentre: string): void {
-        this.backOff(id);
+    private applyLoss(id: string, dataCentre: string, reportedBy: string): void {
+        this.backOff(id, reportedBy);
         this.detectDataCentreLoss({ endpoint: id, dataCentre, lostAt: this.clock.now() });
     }
 
@@ -112,29 +119,29 @@
      */
     recordUnresponsive({ record }: KnownEndpoint): void {
         this.publish({ type: "Outcome", endpoint: record.id, fate: SendResult.Silent }, false);
-        this.backOff(record.id);
+        this.backOff(record.id, this.self);
     }
 
     /**
      * Applies the result that another entry observed. Several entries observe the same loss at about the same time; it
      * counts once.
      */
-    applyPeerResult({ record: { id, dataCentre } }: KnownEndpoint, result: SendResult): void {
+    applyPeerResult({ record: { id, dataCentre } }: KnownEndpoint, result: SendResult, reportedBy: string): void {
         switch (result) {
             case SendResult.Succeeded:
-                this.applySuccess(id, dataCentre);
+                this.applySuccess(id, dataCentre, reportedBy);
                 return;
             case SendResult.Failed:
                 this.applyFailure(id);
                 return;
             case SendResult.Lost:
                 if (!this.isBackingOff(id)) {
-                    this.applyLoss(id, dataCentre);
+                    this.applyLoss(id, dataCentre, reportedBy);
                 }
                 return;
             case SendResult.Silent:
                 if (!this.isBackingOff(id)) {
-                    this.backOff(id);
+                    this.backOff(id, reportedBy);
                 }
                 return;
         }
@@ -146,7 +153,7 @@
      */
     recordUnreachable(endpoint: KnownEndpoint): void {
         this.publish({ type: "Outcome", endpoint: endpoint.record.id, fate: SendResult.Lost }, true);
-        this.applyPeerResult(endpoint, SendResult.Lost);
+        this.applyPeerResult(endpoint, SendResult.Lost, this.self);
     }
 
     /**
@@ -167,12 +174,17 @@
         return this.clock.now() < (this.recordByEndpoint.get(endpoint)?.backOffUntil ?? 0);
     }
 
-    private backOff(id: string): void {
+    private backOff(id: string, reportedBy: string): void {
         this.applyFailure(id);
         const record = this.getOrCreateRecord(id);
+        const now = this.clock.now();
+        const duration = Math.min(maximumBackOffDuration, initialBackOffDuration * 2 ** record.noResponseCount);
+        if (!this.isBackingOff(id)) {
+            const lastSuccessAgo = this.lastSuccessAt === undefined ? undefined : Math.round(now - this.lastSuccessAt);
+            this.log.info("An endpoint is in back-off.", { endpoint: id, reportedBy, duration, lastSuccessAgo });
+        }
         record.noResponseCount++;
-        record.backOffUntil = this.clock.now()
-            + Math.min(maximumBackOffDuration, initialBackOffDuration * 2 ** (record.noResponseCount - 1));
+        record.backOffUntil = now + duration;
     }
 
     private detectDataCentreLoss(loss: EndpointLoss): void {
@@ -182,6 +194,7 @@
         this.recentLosses.push(loss);
         const areInOneDataCentre = this.recentLosses.every(({ dataCentre }) => dataCentre === loss.dataCentre);
         if (areInOneDataCentre && this.recentLosses.length >= correlatedLossCount) {
+            this.log.info("A data centre seems to be lost.", { dataCentre: loss.dataCentre });
             this.suspectUntilByDataCentre.set(loss.dataCentre, loss.lostAt + suspicionDuration);
         }
     }
