Entries without links to endpoints connect by way of other entries

Callers of an entry that had lost its links got 503 after it had tried one endpoint after the other, while all other entries reached them. Cause: an entry kept only what it believed of an endpoint, not of its own link to it, and had no other way to an endpoint than its own connections.

An attempt that can't connect is sent by way of another entry, which answers CONNECT on its peers' port and copies bytes; this entry goes on deciding, counting and retrying. Another entry that connects shows that only this link is lost: later attempts go there at once, and a probe each second ends that. Where three endpoints of different data centres can't be connected either, all links count as lost, which the heartbeat tells, so that nobody asks this entry. A carrier refuses what its own pauses and shutdowns forbid, learns of pauses that endpoints asked for by a response it carried, and says that an endpoint is down only if it reaches others. Without a carrier a request is rejected at once.

--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -1,8 +1,9 @@
 /** Sends attempts to endpoints over HTTP and classifies the outcome of each. */
 import http from "node:http";
-import net from "node:net";
+import net, { type Socket } from "node:net";
 import {
     type AttemptOutcome,
+    ConnectFailure,
     ConnectionCheck,
     type EndpointAttempt,
     type EndpointPort,
@@ -15,12 +16,13 @@
 import { splitAddress } from "../../utils/address.js";
 import { collectBody } from "../../utils/bodies.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
-import { describeError } from "../../utils/errors.js";
+import { describeError, isConnectionRefused } from "../../utils/errors.js";
 import { misdirectedRequestStatus } from "../../utils/httpStatus.js";
 import { cancelOnAbort } from "../../utils/requestCancellation.js";
 import { EndpointAgent } from "./endpointAgent.js";
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
+import { connectByRelay } from "./relayConnection.js";
 
 /** Limit for a response that is buffered in memory. Responses that are not streamed are far smaller. */
 const maximumResponseBytes = 16 * 1024 * 1024;
@@ -31,17 +33,45 @@
 
 /** HTTP client for the endpoints of a deployment. */
 export class EndpointClient implements EndpointPort {
+    onConnected: (endpoint: EndpointRecord) => void = () => {};
     private readonly agent = new EndpointAgent();
 
     constructor(private readonly wire: ForwardingWire, private readonly clock: Clock) {}
 
-    send(attempt: EndpointAttempt, signal: AbortSignal, onReport: ReportListener): Promise<AttemptOutcome> {
-        return new Promise(resolve =>
-            new EndpointExchange(this.wire, this.clock, attempt, signal, onReport, resolve).start(this.agent)
-        );
+    async send(attempt: EndpointAttempt, signal: AbortSignal, onReport: ReportListener): Promise<AttemptOutcome> {
+        const { endpoint, relay, connectTimeout } = attempt;
+        const options: ExchangeOptions = { wire: this.wire, clock: this.clock, attempt, signal, onReport };
+        if (relay === undefined) {
+            return await EndpointExchange.run({
+                ...options,
+                agent: this.agent,
+                onConnected: () => this.onConnected(endpoint),
+            });
+        }
+        const connection = await connectByRelay(this.clock, relay, endpoint, connectTimeout);
+        if (connection.type === "Failed") {
+            return { ...connection, type: "Unreached" };
+        }
+        return await EndpointExchange.run({ ...options, socket: connection.socket });
+    }
+
+    async checkConnection(
+        endpoint: EndpointRecord,
+        timeout: Milliseconds,
+        relay?: string,
+    ): Promise<ConnectionCheck> {
+        if (relay === undefined) {
+            return await this.checkOwnConnection(endpoint, timeout);
+        }
+        const connection = await connectByRelay(this.clock, relay, endpoint, timeout);
+        if (connection.type === "Failed") {
+            return checkOfFailure(connection.failure);
+        }
+        connection.socket.destroy();
+        return ConnectionCheck.Accepted;
     }
 
-    checkConnection({ address }: EndpointRecord, timeout: Milliseconds): Promise<ConnectionCheck> {
+    private checkOwnConnection({ address }: EndpointRecord, timeout: Milliseconds): Promise<ConnectionCheck> {
         const { host, port } = splitAddress(address);
         return new Promise(resolve => {
             const socket = net.connect(port, host);
@@ -59,10 +89,37 @@
     }
 }
 
-const isConnectionRefused = ({ code }: NodeJS.ErrnoException): boolean => code === "ECONNREFUSED";
+const checkOfFailure = (failure: ConnectFailure): ConnectionCheck => {
+    switch (failure) {
+        case ConnectFailure.Refused:
+            return ConnectionCheck.Refused;
+        case ConnectFailure.NoResponse:
+            return ConnectionCheck.NoResponse;
+        case ConnectFailure.RelayUnavailable:
+            return ConnectionCheck.RelayUnavailable;
+    }
+};
+
+interface ExchangeOptions {
+    wire: ForwardingWire;
+    clock: Clock;
+    attempt: EndpointAttempt;
+    signal: AbortSignal;
+    onReport: ReportListener;
+    /** Connects to the endpoint; undefined where `socket` is connected to it. */
+    agent?: http.Agent;
+    /** A connection that another entry carries. */
+    socket?: Socket;
+    /** Called when a new connection is established. */
+    onConnected?: () => void;
+}
 
 /** One attempt on one connection. */
 class EndpointExchange {
+    private readonly wire: ForwardingWire;
+    private readonly clock: Clock;
+    private readonly attempt: EndpointAttempt;
+    private readonly signal: AbortSignal;
     private isSettled = false;
     /** Stops listening to the signal: an abort after the end would hit the next request on the connection. */
     private removeAbortListener: () => void = () => {};
@@ -70,23 +127,30 @@
     /** Whether a response head has arrived; the outcome then depends on the response. */
     private hasResponse = false;
     private connectionError: string | undefined;
-    private connectionRefused = false;
+    private connectFailure = ConnectFailure.NoResponse;
 
-    constructor(
-        private readonly wire: ForwardingWire,
-        private readonly clock: Clock,
-        private readonly attempt: EndpointAttempt,
-        private readonly signal: AbortSignal,
-        private readonly onReport: ReportListener,
+    private constructor(
+        private readonly options: ExchangeOptions,
         private readonly resolve: (outcome: AttemptOutcome) => void,
-    ) {}
+    ) {
+        this.wire = options.wire;
+        this.clock = options.clock;
+        this.attempt = options.attempt;
+        this.signal = options.signal;
+    }
 
-    start(agent: http.Agent): void {
+    /** Resolves with the outcome of the attempt. */
+    static run(options: ExchangeOptions): Promise<AttemptOutcome> {
+        return new Promise(resolve => new EndpointExchange(options, resolve).start());
+    }
+
+    private start(): void {
         if (this.signal.aborted) {
-            this.settle({ type: "Unreached", reason: "cancelled", connectionRefused: false });
+            this.options.socket?.destroy();
+            this.settle({ type: "Unreached", reason: "cancelled", failure: ConnectFailure.NoResponse });
             return;
         }
-        const request = this.createRequest(agent);
+        const request = this.createRequest();
         this.removeAbortListener = cancelOnAbort(request, this.signal);
         const stopTimer = this.clock.after(this.attempt.connectTimeout, () => {
             // After a delay of this process itself, the timer may run before an established connection is noticed.
@@ -105,7 +169,10 @@
         };
         request.on("socket", socket => {
             if (socket.connecting) {
-                socket.once("connect", onConnected);
+                socket.once("connect", () => {
+                    onConnected();
+                    this.options.onConnected?.();
+                });
                 return;
             }
             onConnected();
@@ -116,7 +183,7 @@
         });
         request.on("error", (error: NodeJS.ErrnoException) => {
             this.connectionError = describeError(error);
-            this.connectionRefused = isConnectionRefused(error);
+            this.connectFailure = isConnectionRefused(error) ? ConnectFailure.Refused : ConnectFailure.NoResponse;
             this.settleWithoutResponse();
         });
         request.on("close", () => {
@@ -127,26 +194,29 @@
         request.end(this.attempt.request.body);
     }
 
-    private createRequest(agent: http.Agent): http.ClientRequest {
+    private createRequest(): http.ClientRequest {
         const { request, endpoint, mayReuseConnection } = this.attempt;
+        const { agent, socket } = this.options;
+        // An idle connection may be closing while the request is in flight, and then it is unknown whether the request ran.
+        const connection = socket
+            ? { createConnection: () => socket }
+            : { agent: mayReuseConnection ? agent : false };
         return http.request({
             ...splitAddress(endpoint.address),
             method: request.method,
             path: request.target,
             headers: this.wire.attemptHeaders(this.attempt),
-            // An idle connection may be closing while the request is in flight, and then it is unknown whether the request ran.
-            agent: mayReuseConnection ? agent : false,
+            ...connection,
         });
     }
 
     private settleWithoutResponse(): void {
         if (!this.hasResponse) {
             const reason = this.connectionError ?? "the connection closed before a response";
-            const { connectionRefused } = this;
             this.settle(
                 this.isConnected
                     ? { type: "Broken", reason }
-                    : { type: "Unreached", reason, connectionRefused },
+                    : { type: "Unreached", reason, failure: this.connectFailure },
             );
         }
     }
@@ -174,7 +244,7 @@
             return;
         }
         if (status !== misdirectedRequestStatus && (!isSuccess(status) || facts.isSigned)) {
-            this.onReport(facts.report);
+            this.options.onReport(facts.report);
         }
         if (facts.guaranteesNotRun || status === misdirectedRequestStatus) {
             response.resume();
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -29,6 +29,7 @@
 import { PeerSocket } from "./peerSocket.js";
 import { PeerStateClient, type PeerStateSource, servePeerState } from "./peerStateServer.js";
 import { serveReadiness } from "./readinessPort.js";
+import { serveRelay } from "./relayServer.js";
 
 /**
  * How long a stopping entry keeps accepting requests. The balancer removes it after two failed health checks one second apart;
@@ -49,6 +50,8 @@
 /** Maximum number of peers that an entry asks for the work in progress, and the timeout for each; some may have failed. */
 const maximumWorkQueries = 3;
 const workQueryTimeout: Milliseconds = 300;
+/** Timeout for telling another entry of an endpoint's pause. */
+const pauseAnnouncementTimeout: Milliseconds = 300;
 /** How often an entry checks whether it has become a placer: at short intervals during startup, at longer ones afterwards. */
 const startupDuration: Milliseconds = 3_000;
 const startupPollInterval: Milliseconds = 20;
@@ -118,6 +121,10 @@
             readAges: () => this.readAges(),
             isStoreReachable: () => Object.values(this.followers).every(({ isStoreReachable }) => isStoreReachable),
             plannedStop: () => this.plannedStop,
+            announcePause: ({ address }, { id, incarnation }, duration) => {
+                const pause = { endpoint: id, incarnation, duration };
+                void this.peerStateClient.announcePause(address, pause, pauseAnnouncementTimeout);
+            },
         });
         const { peers, membership } = this.core;
         this.peerStateClient = new PeerStateClient(clock, log("peers"));
@@ -186,7 +193,14 @@
             address => this.peerSocket.listen(address),
         );
         this.self.address = this.peerStateListener.address;
+        serveRelay(this.peerStateListener.server, {
+            clock: this.dependencies.clock,
+            guard: this.core.relayGuard,
+            onCarried: () => this.core.metrics.count("carried_connections_total"),
+            onConnected: endpoint => this.core.links.recordConnected(endpoint),
+        });
         this.runTask("the heartbeat", this.core.peers.runHeartbeats(this.closeController.signal));
+        this.runTask("probing lost links", this.core.links.run(this.closeController.signal));
         this.runTask("keeping quarantined requests", this.core.quarantineKeeper.run(this.closeController.signal));
         this.runTask("discovering entries", this.discoverPeers());
         for (const follower of Object.values(this.followers)) {
@@ -229,7 +243,9 @@
         await clock.sleep(Math.min(minimumDrainDuration, endsAt - startedAt));
         while (clock.now() < endsAt) {
             this.callerPort.closeIdleConnections();
-            if (this.core.forwarder.activeCount === 0 && this.callerPort.connectionCount === 0) {
+            const { forwarder, relayGuard } = this.core;
+            const connections = this.callerPort.connectionCount + relayGuard.openConnections;
+            if (forwarder.activeCount === 0 && connections === 0) {
                 break;
             }
             await clock.sleep(drainPollInterval);
@@ -260,6 +276,8 @@
         stateSince: (kind, revision) =>
             kind === StateKind.Entries ? undefined : this.followers[kind].mirror.updateSince(revision),
         workInProgress: () => this.core.loads.inProgress(),
+        recordPause: ({ endpoint, incarnation, duration }) =>
+            this.core.pauses.record({ id: endpoint, incarnation }, duration),
         stateVersion: () => Object.values(this.followers).map(({ mirror }) => mirror.revision).join(","),
     };
 
@@ -355,6 +373,8 @@
             leaving_endpoints: this.core.reportedStates.leavingCount,
             known_endpoint_crashes: this.core.quarantine.crashCount,
             quarantined_requests: this.core.quarantine.count,
+            reaches_endpoints: this.core.links.isCutOff ? 0 : 1,
+            carried_connections: this.core.relayGuard.openConnections,
             resident_memory_bytes: process.memoryUsage.rss(),
             processor_milliseconds_total: Math.round((user + system) / 1_000),
             ...this.dependencies.gauges?.(),
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -65,6 +65,7 @@
         age: z.number(),
     })).optional(),
     crashNews: crashNewsSchema.optional(),
+    reachesEndpoints: z.boolean().optional(),
 });
 const stateDeltaSchema = z.object({
     kind: z.enum(StateKind),
--- a/src/adapters/forwarding/peerStateServer.ts
+++ b/src/adapters/forwarding/peerStateServer.ts
@@ -19,11 +19,18 @@
 
 const stateMethod = "stateSince";
 const workInProgressMethod = "loadsInProgress";
+const pauseMethod = "endpointPaused";
 /** Version of the message format, raised with each incompatible change. Messages of another version are rejected. */
 const formatVersion = 1;
 const maximumQueryBytes = 4_096;
 
 const stateQuerySchema = z.object({ format: z.literal(formatVersion), kind: z.enum(StateKind), revision: z.number() });
+const pauseSchema = z.object({
+    format: z.literal(formatVersion),
+    endpoint: z.string(),
+    incarnation: z.number(),
+    duration: z.number(),
+});
 const itemSchema = z.object({ name: z.string(), revision: z.number(), value: z.unknown() });
 const stateUpdateSchema = z.discriminatedUnion("type", [
     z.object({
@@ -54,11 +61,16 @@
     })),
 });
 
+/** A pause that an endpoint asked an entry for. */
+export type EndpointPause = Omit<z.infer<typeof pauseSchema>, "format">;
+
 /** State of this entry that its peers may query. */
 export interface PeerStateSource {
     /** The changes of a kind of object after a revision. */
     stateSince(kind: StateKind, revision: number): StateUpdate<unknown> | undefined;
     workInProgress(): WorkInProgress[];
+    /** Records that an endpoint asked this entry for a pause, by a response that this entry carried for another one. */
+    recordPause(pause: EndpointPause): void;
     /** A version that changes whenever the result of {@link stateSince} may change. */
     stateVersion(): string;
 }
@@ -100,6 +112,10 @@
         return source.stateSince(kind, revision) ?? {};
     });
     server.addMethod(workInProgressMethod, () => ({ format: formatVersion, works: source.workInProgress() }));
+    server.addMethod(pauseMethod, parameters => {
+        source.recordPause(pauseSchema.parse(parameters));
+        return {};
+    });
     return listen(address, async (request, response) => {
         try {
             const query = (await readBody(request, maximumQueryBytes)).toString("utf8");
@@ -144,6 +160,11 @@
             : undefined;
     }
 
+    /** Tells the entry at `address` of a pause. */
+    async announcePause(address: string, pause: EndpointPause, timeout: Milliseconds): Promise<void> {
+        await this.call(address, pauseMethod, { format: formatVersion, ...pause }, timeout);
+    }
+
     /** Resolves with the response of the entry at `address`, or with undefined when none arrives in time. */
     private async call(
         address: string,
--- /dev/null
+++ b/src/adapters/forwarding/relayConnection.ts
@@ -0,0 +1,81 @@
+/**
+ * Opens connections to endpoints by way of another entry, through HTTP's `CONNECT`. The other entry copies the bytes in both
+ * directions and doesn't read them.
+ */
+import http from "node:http";
+import type { Socket } from "node:net";
+import { ConnectFailure } from "../../ports/forwardingPorts.js";
+import type { EndpointRecord } from "../../types/routing.js";
+import { splitAddress } from "../../utils/address.js";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
+
+/** Header with the identifier of the endpoint; its address may belong to another one by now. */
+export const relayEndpointHeader = "endpoint-id";
+/** Header with the timeout for the connection to the endpoint, in milliseconds. */
+export const relayTimeoutHeader = "connect-timeout-ms";
+
+/** Statuses of the other entry's answer. */
+export enum RelayStatus {
+    Connected = 200,
+    /** The endpoint refused the connection. */
+    Refused = 502,
+    /** The entry carries no connection to the endpoint, or can't connect to any. */
+    Unavailable = 503,
+    /** The endpoint didn't respond. */
+    NoResponse = 504,
+}
+
+/** Time that the other entry has, beyond the connect timeout, to find out whether it reaches other endpoints. */
+const relayAnswerMargin: Milliseconds = 150;
+
+/** A connection that another entry carries, or why there is none. */
+export type RelayedConnection =
+    | { type: "Connected"; socket: Socket; }
+    | { type: "Failed"; failure: ConnectFailure; reason: string; };
+
+/** Asks the entry at `relay` for a connection to `endpoint`. Never rejects. */
+export const connectByRelay = (
+    clock: Clock,
+    relay: string,
+    endpoint: EndpointRecord,
+    connectTimeout: Milliseconds,
+): Promise<RelayedConnection> =>
+    new Promise(resolve => {
+        const request = http.request({
+            ...splitAddress(relay),
+            method: "CONNECT",
+            path: endpoint.address,
+            headers: { [relayEndpointHeader]: endpoint.id, [relayTimeoutHeader]: String(connectTimeout) },
+            agent: false,
+        });
+        const fail = (failure: ConnectFailure, reason: string) => {
+            stopTimer();
+            request.destroy();
+            resolve({ type: "Failed", failure, reason });
+        };
+        const unavailable = (reason: string) => fail(ConnectFailure.RelayUnavailable, reason);
+        const stopTimer = clock.after(
+            connectTimeout + relayAnswerMargin,
+            () => unavailable("the entry that should carry the connection didn't answer"),
+        );
+        request.once("connect", (response, socket: Socket) => {
+            if (response.statusCode === RelayStatus.Connected) {
+                stopTimer();
+                resolve({ type: "Connected", socket });
+                return;
+            }
+            socket.destroy();
+            fail(failureOf(response.statusCode), `another entry couldn't connect: status ${response.statusCode}`);
+        });
+        request.once("response", response => unavailable(`unexpected response with status ${response.statusCode}`));
+        request.once("error", error => unavailable(error.message));
+        request.once("close", () => unavailable("the connection closed without an answer"));
+        request.end();
+    });
+
+const failureOf = (status: number | undefined): ConnectFailure => {
+    if (status === RelayStatus.Refused) {
+        return ConnectFailure.Refused;
+    }
+    return status === RelayStatus.NoResponse ? ConnectFailure.NoResponse : ConnectFailure.RelayUnavailable;
+};
--- /dev/null
+++ b/src/adapters/forwarding/relayServer.ts
@@ -0,0 +1,120 @@
+/** Carries connections of other entries to endpoints: answers `CONNECT`, then copies bytes in both directions. */
+import type http from "node:http";
+import net, { type Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import type { RelayGuard } from "../../core/reachability/relayGuard.js";
+import type { EndpointRecord } from "../../types/routing.js";
+import { splitAddress } from "../../utils/address.js";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
+import { isConnectionRefused } from "../../utils/errors.js";
+import { parseNonNegativeNumber } from "../../utils/numbers.js";
+import { relayEndpointHeader, RelayStatus, relayTimeoutHeader } from "./relayConnection.js";
+
+/** Upper bound of the connect timeout that another entry asks for. */
+const maximumConnectTimeout: Milliseconds = 1_000;
+
+/** Dependencies of {@link serveRelay}. */
+export interface RelayServerDependencies {
+    clock: Clock;
+    guard: RelayGuard;
+    /** Called for each connection that is carried. */
+    onCarried: () => void;
+    /** Called with the endpoint of each connection that this entry has established. */
+    onConnected: (endpoint: EndpointRecord) => void;
+}
+
+/** Serves the `CONNECT` requests that `server` receives. */
+export const serveRelay = (server: http.Server, dependencies: RelayServerDependencies): void => {
+    server.on("connect", (request: http.IncomingMessage, stream: Duplex) => {
+        new CarriedConnection(dependencies, request, stream as Socket).open();
+    });
+};
+
+/** One connection of another entry. */
+class CarriedConnection {
+    private readonly startedAt: Milliseconds;
+
+    constructor(
+        private readonly dependencies: RelayServerDependencies,
+        private readonly request: http.IncomingMessage,
+        private readonly entrySocket: Socket,
+    ) {
+        this.startedAt = dependencies.clock.now();
+    }
+
+    open(): void {
+        const { clock, guard } = this.dependencies;
+        this.entrySocket.on("error", () => {});
+        const { headers, url: address = "" } = this.request;
+        const endpoint = guard.admit({ endpoint: String(headers[relayEndpointHeader]), address });
+        if (!endpoint) {
+            this.answer(RelayStatus.Unavailable);
+            return;
+        }
+        const { host, port } = splitAddress(address);
+        const endpointSocket = net.connect(port, host);
+        guard.openConnections++;
+        endpointSocket.once("close", () => guard.openConnections--);
+        const stopTimer = clock.after(this.connectTimeout, () => {
+            endpointSocket.destroy();
+            void this.answerFailure(endpoint, RelayStatus.NoResponse);
+        });
+        const abandon = () => endpointSocket.destroy();
+        this.entrySocket.once("close", abandon);
+        endpointSocket.once("error", error => {
+            stopTimer();
+            if (endpointSocket.connecting || endpointSocket.bytesWritten === 0) {
+                void this.answerFailure(
+                    endpoint,
+                    isConnectionRefused(error) ? RelayStatus.Refused : RelayStatus.NoResponse,
+                );
+            }
+        });
+        endpointSocket.once("connect", () => {
+            stopTimer();
+            this.entrySocket.off("close", abandon);
+            this.dependencies.onConnected(endpoint);
+            this.carry(endpointSocket);
+        });
+    }
+
+    private get connectTimeout(): Milliseconds {
+        const asked = parseNonNegativeNumber(String(this.request.headers[relayTimeoutHeader]));
+        return Math.min(maximumConnectTimeout, asked ?? maximumConnectTimeout);
+    }
+
+    /** A failure tells about the endpoint only where this entry reaches others. */
+    private async answerFailure(endpoint: EndpointRecord, status: RelayStatus): Promise<void> {
+        const isJudged = await this.dependencies.guard.judgesFailure(endpoint, this.startedAt);
+        this.answer(isJudged ? status : RelayStatus.Unavailable);
+    }
+
+    private answer(status: RelayStatus): void {
+        if (this.entrySocket.writable) {
+            this.entrySocket.end(`HTTP/1.1 ${status} \r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+        }
+    }
+
+    /** Copies bytes until both sides have closed. A reset on one side is passed on: it shows that a response was cut. */
+    private carry(endpointSocket: Socket): void {
+        const { entrySocket } = this;
+        this.dependencies.onCarried();
+        entrySocket.write(`HTTP/1.1 ${RelayStatus.Connected} Connected\r\n\r\n`);
+        entrySocket.pipe(endpointSocket);
+        endpointSocket.pipe(entrySocket);
+        resetWith(endpointSocket, entrySocket);
+        resetWith(entrySocket, endpointSocket);
+    }
+}
+
+/** Resets `other` when `socket` fails or closes before both have ended. */
+const resetWith = (socket: Socket, other: Socket): void => {
+    socket.once("error", () => other.resetAndDestroy());
+    socket.once("close", () => {
+        if (!socket.readableEnded) {
+            other.resetAndDestroy();
+            return;
+        }
+        other.end();
+    });
+};
--- a/src/core/budgets/endpointPauses.ts
+++ b/src/core/budgets/endpointPauses.ts
@@ -28,7 +28,7 @@
     }
 
     /** Records that `endpoint` asked for a pause. A shorter one doesn't end an earlier one. */
-    record({ id, incarnation }: EndpointRecord, duration: Milliseconds): void {
+    record({ id, incarnation }: Pick<EndpointRecord, "id" | "incarnation">, duration: Milliseconds): void {
         this.removeEnded();
         const now = this.clock.now();
         const endsAt = Math.max(now + duration, this.pauseByEndpoint.get(id)?.endsAt ?? 0);
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -33,6 +33,11 @@
 import { CrashDetector } from "./quarantine/crashDetector.js";
 import { Quarantine } from "./quarantine/quarantine.js";
 import { QuarantineKeeper } from "./quarantine/quarantineKeeper.js";
+import { LinkTracker } from "./reachability/linkTracker.js";
+import { RelayGuard } from "./reachability/relayGuard.js";
+import { type PauseAnnouncer, RelayingEndpointPort } from "./reachability/relayingEndpointPort.js";
+import { RelayingMemoryPort } from "./reachability/relayingMemoryPort.js";
+import { Relays } from "./reachability/relays.js";
 
 export interface EntryCoreDependencies {
     clock: Clock;
@@ -59,6 +64,8 @@
     isStoreReachable: () => boolean;
     /** The planned stop; undefined while this entry isn't stopping. */
     plannedStop: () => PlannedStop | undefined;
+    /** Tells another entry that an endpoint asked it for a pause. */
+    announcePause: PauseAnnouncer;
 }
 
 /** The components of one entry that decide on requests. */
@@ -74,6 +81,9 @@
     readonly reportedStates: ReportedStates;
     readonly quarantine: Quarantine;
     readonly quarantineKeeper: QuarantineKeeper;
+    readonly links: LinkTracker;
+    /** Admits connections that this entry carries for others. */
+    readonly relayGuard: RelayGuard;
     readonly forwarder: Forwarder;
     private readonly failures: FailureTracker;
     private readonly placementClient: PlacementClient;
@@ -111,6 +121,7 @@
             onReportedStates: states => this.reportedStates.merge(states),
             crashNews: () => this.quarantine.snapshot(),
             onCrashNews: (from, news) => this.quarantine.merge(from, news),
+            reachesEndpoints: () => !this.links.isCutOff,
             onOutcome: (from, endpoint, fate) => this.applyPeerOutcome(from, endpoint, fate),
             onPlacementAsked: (from, question) => placementServer.answer(from, question),
             onPlacementAnswered: answer => this.placementClient.receiveAnswer(answer),
@@ -131,6 +142,16 @@
         const coldBudget = new ColdBudget(clock, dependencies.coldLimits, this.membership);
         const { limits, pauses, reportedStates } = this;
         const eligibility = new Eligibility({ clock, directory, coldBudget, limits, pauses, reportedStates });
+        this.links = new LinkTracker({
+            clock,
+            random,
+            log: log("links"),
+            endpointPort: dependencies.endpointPort,
+            listed: () => this.directory.listed(),
+        });
+        this.links.onChange = () => this.peers.publishEndpointReport();
+        const relays = new Relays({ clock, random, dataCentre, livingPeers: () => this.peers.livingPeers() });
+        this.relayGuard = new RelayGuard(this.links, directory, eligibility);
         const crashDetector = new CrashDetector({
             clock,
             log: log("crashes"),
@@ -175,8 +196,16 @@
             log: log("request"),
             configuration: this.configuration,
             directory: this.directory,
-            endpointPort: dependencies.endpointPort,
-            memoryPort: dependencies.memoryPort,
+            endpointPort: new RelayingEndpointPort({
+                clock,
+                log: log("links"),
+                metrics,
+                endpointPort: dependencies.endpointPort,
+                links: this.links,
+                relays,
+                announcePause: dependencies.announcePause,
+            }),
+            memoryPort: new RelayingMemoryPort(dependencies.memoryPort, this.links, relays),
             placementClient: this.placementClient,
             loadEstimator: this.loads,
             failureTracker: this.failures,
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -33,7 +33,7 @@
     log: PartLog;
     configuration: ActiveConfiguration;
     directory: EndpointDirectory;
-    endpointPort: EndpointPort;
+    endpointPort: Pick<EndpointPort, "send">;
     memoryPort: MemoryPort;
     placementClient: PlacementClient;
     loadEstimator: SharedLoadEstimator;
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -6,7 +6,7 @@
     ResponseHead,
     StreamEvent,
 } from "../../ports/forwardingPorts.js";
-import { RefusalReason, StreamBrokenError, StreamStalledError } from "../../ports/forwardingPorts.js";
+import { ConnectFailure, RefusalReason, StreamBrokenError, StreamStalledError } from "../../ports/forwardingPorts.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import { describeError } from "../../utils/errors.js";
 import { FailureKind } from "../failures.js";
@@ -100,7 +100,7 @@
                 this.progress.log("An endpoint accepts no more requests.", endpoint, {});
                 return false;
             case "Unreached":
-                this.recordUnreached(endpoint, outcome.connectionRefused);
+                this.recordUnreached(endpoint, outcome.failure);
                 attempts.excludeLastFromCount();
                 attempts.recordRefused(id);
                 this.progress.log("An endpoint can't be reached.", endpoint, { reason: outcome.reason });
@@ -141,13 +141,17 @@
         metrics.count("endpoint_breaks_total");
     }
 
-    private recordUnreached(endpoint: KnownEndpoint, connectionRefused: boolean): void {
+    private recordUnreached(endpoint: KnownEndpoint, failure: ConnectFailure): void {
         const { failureTracker } = this.dependencies;
-        if (connectionRefused) {
-            failureTracker.recordUnreachable(endpoint);
-        }
-        else {
-            failureTracker.recordLost(endpoint);
+        switch (failure) {
+            case ConnectFailure.Refused:
+                failureTracker.recordUnreachable(endpoint);
+                return;
+            case ConnectFailure.NoResponse:
+                failureTracker.recordLost(endpoint);
+                return;
+            case ConnectFailure.RelayUnavailable:
+                return;
         }
     }
 
--- a/src/core/membership/endpointDirectory.ts
+++ b/src/core/membership/endpointDirectory.ts
@@ -83,6 +83,11 @@
         return !isExpired && this.endpointById.get(endpoint.record.id) === endpoint && this.mayServe(endpoint, service);
     }
 
+    /** All endpoints, usable or not. */
+    listed(): KnownEndpoint[] {
+        return [...this.endpointById.values()];
+    }
+
     get(id: string): KnownEndpoint | undefined {
         return this.endpointById.get(id);
     }
--- a/src/core/membership/peerRegistry.ts
+++ b/src/core/membership/peerRegistry.ts
@@ -50,6 +50,8 @@
     processors: number;
     /** Whether it is able to choose endpoints for others. */
     places: boolean;
+    /** Whether it can connect to endpoints. */
+    reachesEndpoints: boolean;
 }
 
 /** What an entry's new status changes. */
@@ -270,6 +272,7 @@
     reads: true,
     processors: 0,
     places: false,
+    reachesEndpoints: true,
     receivedAt: heardAt,
     lastSeenAt: now,
     firstSeenAt: now,
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -72,6 +72,8 @@
     /** What this entry knows about requests that crash endpoints, and a callback for what another entry knows. */
     crashNews?: () => CrashNews | undefined;
     onCrashNews?: (from: string, news: CrashNews) => void;
+    /** Whether this entry can connect to endpoints. */
+    reachesEndpoints?: () => boolean;
     /** Called with the result of another entry's sends to an endpoint. */
     onOutcome?: (from: string, endpoint: string, fate: SendResult) => void;
     /** Called when another entry asks for the placement of a request, and with the answer to this entry's own question. */
@@ -288,6 +290,7 @@
             limits: this.dependencies.limits?.() ?? [],
             reportedStates: this.dependencies.reportedStates?.() ?? [],
             crashNews: this.dependencies.crashNews?.(),
+            reachesEndpoints: this.dependencies.reachesEndpoints?.() ?? true,
         };
     }
 
--- a/src/core/placement/endpointSelector.ts
+++ b/src/core/placement/endpointSelector.ts
@@ -8,7 +8,7 @@
  */
 import { type EngineProfile, PlacementPolicy, type ServiceDefinition } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
-import type { Random } from "../../utils/random.js";
+import { type Random, shuffle } from "../../utils/random.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
 import type { Demand } from "./demand.js";
 import { decodeDuration, passDuration, prefillDuration, prefillDurationInPass } from "./engineCost.js";
@@ -258,12 +258,7 @@
             minimumSampleSize,
             Math.round(candidates.length / (1 + this.loadEstimates.placementsInTransit)),
         );
-        return sampleSize >= candidates.length ? candidates : this.shuffle(candidates).slice(0, sampleSize);
-    }
-
-    private shuffle(candidates: readonly KnownEndpoint[]): readonly KnownEndpoint[] {
-        return candidates.map(candidate => ({ candidate, order: this.random.next() }))
-            .sort((left, right) => left.order - right.order).map(({ candidate }) => candidate);
+        return sampleSize >= candidates.length ? candidates : shuffle(candidates, this.random).slice(0, sampleSize);
     }
 
     private selectTeam(
@@ -282,7 +277,7 @@
             targetLatency: requirements.targetLatency,
             // Without updates from one another, all entries would choose the first of the endpoints that seem idle.
             candidates: this.loadEstimates.placementsInTransit === Infinity
-                ? this.shuffle(candidatesWithMemory)
+                ? shuffle(candidatesWithMemory, this.random)
                 : candidatesWithMemory,
             loadOf: ({ record }) => this.loadEstimates.loadOf(record.id),
             firstEventLoss: firstEvent =>
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -69,6 +69,8 @@
     connectTimeout: Milliseconds;
     /** Whether an idle connection of an earlier request may be used. */
     mayReuseConnection: boolean;
+    /** Address of the entry that carries the connection; undefined where this entry connects itself. */
+    relay?: string;
 }
 
 /** One event of a stream with its unchanged bytes. */
@@ -116,10 +118,19 @@
     atFault: string | undefined;
 }
 
+/** Why there was no connection to an endpoint. */
+export enum ConnectFailure {
+    /** The instance of the endpoint refused the connection. */
+    Refused = "refused",
+    NoResponse = "noResponse",
+    /** No entry that reaches endpoints has tried, so that this says nothing about the endpoint. */
+    RelayUnavailable = "relayUnavailable",
+}
+
 /** Outcome of an attempt. */
 export type AttemptOutcome =
-    /** Not a byte was written. `connectionRefused` is true when the instance of the endpoint refused the connection. */
-    | { type: "Unreached"; reason: string; connectionRefused: boolean; }
+    /** Not a byte was written. */
+    | { type: "Unreached"; reason: string; failure: ConnectFailure; }
     | Refusal
     /** The request may have run, but no complete response arrived. */
     | { type: "Broken"; reason: string; }
@@ -138,14 +149,18 @@
     /** The instance runs, and no process listens there. */
     Refused = "refused",
     NoResponse = "noResponse",
+    /** The entry that should have carried the connection doesn't. */
+    RelayUnavailable = "relayUnavailable",
 }
 
 /** Sends requests to endpoints. */
 export interface EndpointPort {
+    /** Called with the endpoint of each new connection of this entry that is established. */
+    onConnected: (endpoint: EndpointRecord) => void;
     /** Sends one attempt. Aborting `signal` cancels it at the endpoint; the outcome is then ignored. */
     send(attempt: EndpointAttempt, signal: AbortSignal, onReport: ReportListener): Promise<AttemptOutcome>;
-    /** Opens a connection to the endpoint and closes it at once. */
-    checkConnection(endpoint: EndpointRecord, timeout: Milliseconds): Promise<ConnectionCheck>;
+    /** Opens a connection to the endpoint, or has the entry at the address `relay` open it, and closes it at once. */
+    checkConnection(endpoint: EndpointRecord, timeout: Milliseconds, relay?: string): Promise<ConnectionCheck>;
 }
 
 /** The caller's side of one request. */
--- a/src/ports/memoryPort.ts
+++ b/src/ports/memoryPort.ts
@@ -9,6 +9,8 @@
     id: string;
     endpoint: EndpointRecord;
     tokens: number;
+    /** Address of the entry that carries the connection; undefined where this entry connects itself. */
+    relay?: string;
     /** Receives what the endpoint reports about itself in its responses. */
     onReport: ReportListener;
 }
--- a/src/ports/peerChannelPort.ts
+++ b/src/ports/peerChannelPort.ts
@@ -126,6 +126,8 @@
     reportedStates?: ReportedState[];
     /** Missing where nothing is known, and in messages of earlier versions. */
     crashNews?: CrashNews;
+    /** Whether the entry can connect to endpoints. Missing in messages of earlier versions. */
+    reachesEndpoints?: boolean;
 }
 
 /** One update from an entry to its peers. */
--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -8,6 +8,7 @@
     type RoutingConfiguration,
 } from "../types/routing.js";
 import type { Milliseconds } from "../utils/clock.js";
+import { shuffle } from "../utils/random.js";
 import { FaultType, type Pattern } from "./pattern.js";
 import { type RepeatedTry, sendRepeatedly } from "./repeatedRequests.js";
 import { createReplayRandom, customerName, generateReplayArrivals } from "./replayArrivals.js";
@@ -238,9 +239,7 @@
         const candidates = this.fleet.endpoints.filter(({ record }) =>
             dataCentre === undefined || record.dataCentre === `centre-${dataCentre}`
         );
-        const shuffled = candidates.map(endpoint => ({ endpoint, order: this.random.next() }))
-            .sort((left, right) => left.order - right.order);
-        return shuffled.slice(0, Math.ceil(share * candidates.length)).map(({ endpoint }) => endpoint);
+        return shuffle(candidates, this.random).slice(0, Math.ceil(share * candidates.length));
     }
 
     private crashEndpoints(endpoints: readonly SimulatedEndpoint[]): void {
--- a/src/replay/simulatedEntries.ts
+++ b/src/replay/simulatedEntries.ts
@@ -57,6 +57,7 @@
             const { signal } = new AbortController();
             void entry.peers.runHeartbeats(signal);
             void entry.quarantineKeeper.run(signal);
+            void entry.links.run(signal);
         }
     }
 
@@ -122,8 +123,15 @@
             readAges: () => ({ [StateKind.Endpoints]: 0 }),
             isStoreReachable: () => true,
             plannedStop: () => undefined,
+            announcePause: ({ address }, endpoint, duration) => {
+                clock.after(
+                    this.options.delay,
+                    () => this.entryByAddress.get(address)?.pauses.record(endpoint, duration),
+                );
+            },
         });
         this.entryByAddress.set(self.address, entry);
+        fleet.connections.addRelay(self.address, { entry: self.id, links: entry.links, guard: entry.relayGuard });
         return entry;
     }
 
--- a/src/replay/simulatedFleet.ts
+++ b/src/replay/simulatedFleet.ts
@@ -1,6 +1,7 @@
 /** Simulates the engines of a replay as entries reach them: attempts, memory reservations, crashes and stalls. */
 import {
     type AttemptOutcome,
+    ConnectFailure,
     ConnectionCheck,
     type EndpointAttempt,
     type EndpointPort,
@@ -16,6 +17,7 @@
 import type { Clock, Milliseconds } from "../utils/clock.js";
 import { describeError } from "../utils/errors.js";
 import { createEngineProfile, type Pattern } from "./pattern.js";
+import { ListenState, SimulatedConnections } from "./simulatedConnections.js";
 import { type SimulatedLink, SimulatedLinks } from "./simulatedLinks.js";
 
 /** Name of the service that all engines belong to. */
@@ -71,6 +73,7 @@
 export class SimulatedFleet {
     readonly profile: EngineProfile;
     readonly links: SimulatedLinks;
+    readonly connections: SimulatedConnections;
     readonly endpoints: readonly SimulatedEndpoint[];
     readonly arrivals: EndpointArrival[] = [];
     readonly leavingReports: LeavingReport[] = [];
@@ -87,6 +90,12 @@
         const profile = createEngineProfile(pattern);
         this.profile = profile;
         this.links = new SimulatedLinks(clock);
+        this.connections = new SimulatedConnections(
+            clock,
+            this.links,
+            this.transitDelay,
+            endpoint => this.listenStateOf(endpoint),
+        );
         this.endpoints = [...Array(count).keys()].map(index => ({
             record: {
                 id: `engine-${index}`,
@@ -119,10 +128,12 @@
 
     /** Returns the port of one entry. */
     portOf(entry: string): EndpointPort {
-        return {
-            send: (attempt, signal, onReport) => this.send(entry, attempt, signal, onReport),
-            checkConnection: (endpoint, timeout) => this.checkConnection(entry, endpoint, timeout),
+        const port: EndpointPort = {
+            onConnected: () => {},
+            send: (attempt, signal, onReport) => this.send(entry, port, attempt, signal, onReport),
+            checkConnection: (endpoint, timeout, relay) => this.checkConnection(entry, endpoint, timeout, relay),
         };
+        return port;
     }
 
     /** Returns the memory port of one entry. */
@@ -133,70 +144,82 @@
         };
     }
 
+    private listenStateOf({ address }: EndpointRecord): ListenState {
+        const { engine, isUnresponsive } = this.findEndpoint(address);
+        if (isUnresponsive) {
+            return ListenState.Unresponsive;
+        }
+        return engine.isDead ? ListenState.Refusing : ListenState.Accepting;
+    }
+
     private async checkConnection(
         entry: string,
-        { id, address }: EndpointRecord,
+        endpoint: EndpointRecord,
         timeout: Milliseconds,
+        relay?: string,
     ): Promise<ConnectionCheck> {
-        const { engine, isUnresponsive } = this.findEndpoint(address);
-        const link = this.links.between(entry, id);
-        if (isUnresponsive || link.hangsNewConnections) {
-            await this.clock.sleep(timeout);
-            return ConnectionCheck.NoResponse;
+        const connection = await this.connections.connect({ entry, endpoint, timeout, relay });
+        switch (connection) {
+            case ConnectFailure.Refused:
+                return ConnectionCheck.Refused;
+            case ConnectFailure.NoResponse:
+                return ConnectionCheck.NoResponse;
+            case ConnectFailure.RelayUnavailable:
+                return ConnectionCheck.RelayUnavailable;
+            default:
+                return ConnectionCheck.Accepted;
         }
-        await this.clock.sleep(2 * this.transitDelay);
-        return engine.isDead || link.failure ? ConnectionCheck.Refused : ConnectionCheck.Accepted;
     }
 
     private async send(
         entry: string,
+        port: EndpointPort,
         attempt: EndpointAttempt,
         signal: AbortSignal,
         onReport: ReportListener,
     ): Promise<AttemptOutcome> {
+        const { connectTimeout: timeout, mayReuseConnection: mayReuse, relay } = attempt;
         const endpoint = this.findEndpoint(attempt.endpoint.address);
-        const { record, engine, isUnresponsive } = endpoint;
-        const link = this.links.between(entry, record.id);
-        const isReused = attempt.mayReuseConnection && link.takeIdleConnection();
-        if (isUnresponsive || (link.hangsNewConnections && !isReused)) {
-            await this.clock.sleep(attempt.connectTimeout, signal);
-            return { type: "Unreached", reason: "connecting timed out", connectionRefused: false };
+        const { record, engine } = endpoint;
+        const connectOptions = { entry, endpoint: attempt.endpoint, timeout, relay, mayReuse, signal };
+        const connection = await this.connections.connect(connectOptions);
+        if (typeof connection === "string") {
+            return { type: "Unreached", reason: `no connection: ${connection}`, failure: connection };
         }
-        await this.waitForTransit();
-        if (isReused && !await this.passLink(link, signal)) {
-            return { type: "Broken", reason: "the connection was reset" };
+        const { link, isReused, delay } = connection;
+        if (!isReused && relay === undefined) {
+            port.onConnected(record);
         }
-        if (engine.isDead || (link.failure && !isReused)) {
-            await this.waitForTransit();
-            return { type: "Unreached", reason: "connection refused", connectionRefused: true };
+        if (isReused) {
+            await this.clock.sleep(delay);
         }
-        if (signal.aborted) {
-            return { type: "Broken", reason: "cancelled" };
+        if (!await this.passLink(link, signal) || engine.isDead) {
+            return { type: "Broken", reason: "the connection was reset" };
         }
         const { requestedPause } = endpoint;
         this.arrivals.push({
             endpoint: record.id,
             at: this.clock.now(),
-            entry,
+            entry: connection.entry,
             requestId: attempt.request.id,
             asksForPause: requestedPause !== undefined,
             isCold: this.clock.now() < endpoint.reportedColdUntil,
         });
         const reportReceived = (report: EndpointReport) => {
             if (report.isLeaving) {
-                this.leavingReports.push({ endpoint: record.id, entry, at: this.clock.now() });
+                this.leavingReports.push({ endpoint: record.id, entry: connection.entry, at: this.clock.now() });
             }
             onReport(report);
         };
         if (requestedPause !== undefined) {
             const report = this.createReport(endpoint, false);
-            await this.waitForTransit();
+            await this.clock.sleep(delay);
             reportReceived({ ...report, retryAfter: requestedPause });
             return { type: "Refused", reason: RefusalReason.Busy, atFault: undefined };
         }
         const response = new SimulatedResponse(
             this.clock,
-            this.transitDelay,
+            delay,
             endpoint,
             link,
             signal,
@@ -223,35 +246,28 @@
 
     private async reserve(
         entry: string,
-        { id, endpoint, tokens }: MemoryReservation,
+        { id, endpoint, tokens, relay }: MemoryReservation,
         holdDuration: Milliseconds,
         timeout: Milliseconds,
     ): Promise<ReservationResult> {
-        const { engine, isUnresponsive } = this.findEndpoint(endpoint.address);
-        const link = this.links.between(entry, endpoint.id);
-        if (link.hangsNewConnections) {
-            await this.clock.sleep(timeout);
+        const connection = await this.connections.connect({ entry, endpoint, timeout, relay });
+        if (typeof connection === "string") {
             return ReservationResult.Unknown;
         }
-        await this.waitForTransit();
-        if (isUnresponsive || engine.isDead || link.failure) {
-            return ReservationResult.Unknown;
-        }
-        const isHeld = engine.reserve(id, tokens, holdDuration, false);
-        await this.waitForTransit();
+        const isHeld = this.findEndpoint(endpoint.address).engine.reserve(id, tokens, holdDuration, false);
+        await this.clock.sleep(connection.delay);
         return isHeld ? ReservationResult.Held : ReservationResult.Refused;
     }
 
     private async release(
         entry: string,
-        { id, endpoint }: MemoryReservation,
+        { id, endpoint, relay }: MemoryReservation,
         timeout: Milliseconds,
     ): Promise<boolean> {
-        if (this.links.between(entry, endpoint.id).failure) {
-            await this.clock.sleep(timeout);
+        const connection = await this.connections.connect({ entry, endpoint, timeout, relay });
+        if (typeof connection === "string") {
             return false;
         }
-        await this.waitForTransit();
         this.findEndpoint(endpoint.address).engine.release(id);
         return true;
     }
@@ -319,10 +335,6 @@
     private get transitDelay(): Milliseconds {
         return this.pattern.pattern.delay;
     }
-
-    private waitForTransit(): Promise<void> {
-        return this.clock.sleep(this.transitDelay);
-    }
 }
 
 /** The response of one engine to one attempt, as its events arrive at the entry. */
--- a/src/utils/errors.ts
+++ b/src/utils/errors.ts
@@ -32,3 +32,6 @@
 
 /** Text of any thrown value, for logs and responses. */
 export const describeError = (error: unknown): string => error instanceof Error ? error.message : String(error);
+
+/** Whether a connection failed because no process listens at its address. */
+export const isConnectionRefused = (error: Error & { code?: string; }): boolean => error.code === "ECONNREFUSED";
--- a/src/utils/httpClient.ts
+++ b/src/utils/httpClient.ts
@@ -1,5 +1,6 @@
 /** HTTP client over Node's `http`. Each failure states whether the server may have received the request. */
 import http from "node:http";
+import type { Socket } from "node:net";
 import { gunzipSync } from "node:zlib";
 import { splitAddress } from "./address.js";
 import { collectBody } from "./bodies.js";
@@ -19,6 +20,8 @@
     freshConnection?: boolean;
     /** Pools the connections. Requests without an agent share one. */
     agent?: http.Agent;
+    /** Sends the request on this established connection instead. */
+    socket?: Socket;
 }
 
 /** Head of a response, and its unread body. */
@@ -35,6 +38,13 @@
     return { ...request.headers, ...(contentLength === undefined ? {} : { "content-length": contentLength }) };
 };
 
+const connectionOf = ({ socket, freshConnection, agent }: OutgoingRequest): http.RequestOptions => {
+    if (socket) {
+        return { createConnection: () => socket };
+    }
+    return { agent: freshConnection ? new http.Agent({ keepAlive: false }) : agent ?? sharedAgent };
+};
+
 /**
  * Sends a request and resolves with the head of the response.
  *
@@ -48,7 +58,7 @@
             method: request.method,
             path: request.path,
             headers: requestHeaders(request),
-            agent: request.freshConnection ? new http.Agent({ keepAlive: false }) : request.agent ?? sharedAgent,
+            ...connectionOf(request),
         });
         if (request.signal) {
             outgoing.once("close", cancelOnAbort(outgoing, request.signal));
--- a/src/utils/random.ts
+++ b/src/utils/random.ts
@@ -9,6 +9,12 @@
 /** Unseeded random numbers of this process. */
 export const systemRandom: Random = { next: () => Math.random() };
 
+/** Returns the items in random order. */
+export const shuffle = <Item>(items: readonly Item[], random: Random): Item[] =>
+    items.map(item => ({ item, order: random.next() }))
+        .sort((left, right) => left.order - right.order)
+        .map(({ item }) => item);
+
 /** Seeded pseudorandom number generator (mulberry32). */
 export const seededRandom = (seed: number): Random => {
     let state = seed >>> 0;
