Lost links are neither told to other entries as lost endpoints nor taken for crashes

An entry that lost its links told all others that sound endpoints, and data centres, were lost, and took the refused connection after a broken response for a crash of the endpoint: three of them quarantined innocent requests at all entries for half a minute and more. Cause: what an entry observes on its own link was recorded as a state of the endpoint.

An endpoint that broke off or fell silent is checked once for all who ask: by this entry, then by up to five others. Where one of them connects, only the link is lost: the back-off here ends, nothing is published, no crash is reported. Where no entry that reaches endpoints could check, nothing is concluded.

Crashing requests are still found: their tests pass unchanged.

--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -33,7 +33,9 @@
 import { CrashDetector } from "./quarantine/crashDetector.js";
 import { Quarantine } from "./quarantine/quarantine.js";
 import { QuarantineKeeper } from "./quarantine/quarantineKeeper.js";
+import { EndpointChecker } from "./reachability/endpointChecker.js";
 import { LinkTracker } from "./reachability/linkTracker.js";
+import { LossReports } from "./reachability/lossReports.js";
 import { RelayGuard } from "./reachability/relayGuard.js";
 import { type PauseAnnouncer, RelayingEndpointPort } from "./reachability/relayingEndpointPort.js";
 import { RelayingMemoryPort } from "./reachability/relayingMemoryPort.js";
@@ -152,11 +154,12 @@
         this.links.onChange = () => this.peers.publishEndpointReport();
         const relays = new Relays({ clock, random, dataCentre, livingPeers: () => this.peers.livingPeers() });
         this.relayGuard = new RelayGuard(this.links, directory, eligibility);
+        const checker = new EndpointChecker(clock, dependencies.endpointPort, this.links, relays);
         const crashDetector = new CrashDetector({
             clock,
             log: log("crashes"),
             metrics,
-            endpointPort: dependencies.endpointPort,
+            checker,
             isLeaving: endpoint => this.isLeaving(endpoint),
         });
         crashDetector.onCrash = crash => this.quarantine.recordCrash(crash);
@@ -209,6 +212,7 @@
             placementClient: this.placementClient,
             loadEstimator: this.loads,
             failureTracker: this.failures,
+            lossReports: new LossReports(checker, this.failures),
             retryBudget: new SharedRetryBudget(clock, dependencies.retryLimits, () => this.membership.budgetDivisor),
             coldBudget,
             eligibility,
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -18,6 +18,7 @@
 import type { SharedLoadEstimator } from "../placement/sharedLoadEstimator.js";
 import type { CrashDetector } from "../quarantine/crashDetector.js";
 import type { Quarantine } from "../quarantine/quarantine.js";
+import type { LossReports } from "../reachability/lossReports.js";
 
 /** A planned stop of this entry. Times are on the local clock. */
 export interface PlannedStop {
@@ -38,6 +39,7 @@
     placementClient: PlacementClient;
     loadEstimator: SharedLoadEstimator;
     failureTracker: FailureTracker;
+    lossReports: LossReports;
     retryBudget: SharedRetryBudget;
     coldBudget: ColdBudget;
     eligibility: Eligibility;
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -12,6 +12,7 @@
 import { FailureKind } from "../failures.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
 import type { Placement } from "../placement/endpointSelector.js";
+import { SendResult } from "../placement/failureTracker.js";
 import type { Admission } from "./admission.js";
 import { EndpointSearch } from "./endpointSearch.js";
 import type { ForwardingDependencies } from "./forwardingDependencies.js";
@@ -129,12 +130,9 @@
     }
 
     private recordLost(endpoint: KnownEndpoint, isStalled: boolean): void {
-        const { failureTracker, metrics } = this.dependencies;
-        if (isStalled) {
-            failureTracker.recordUnresponsive(endpoint);
-        }
-        else {
-            failureTracker.recordLost(endpoint);
+        const { lossReports, metrics } = this.dependencies;
+        void lossReports.record(endpoint, isStalled ? SendResult.Silent : SendResult.Lost);
+        if (!isStalled) {
             this.quarantineGate.recordBroken(endpoint.record);
         }
         this.progress.attempts.recordBroken(endpoint.record.id);
--- a/src/core/placement/failureTracker.ts
+++ b/src/core/placement/failureTracker.ts
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Records that the endpoint couldn't be reached or broke off. An endpoint that is down stays listed for seconds;
-     * without a back-off each new request would find it idle and fail there.
+     * Records that the endpoint is down, and publishes it. An endpoint that is down stays listed for seconds; without a
+     * back-off each new request would find it idle and fail there.
      */
     recordLost({ record: { id, dataCentre } }: KnownEndpoint): void {
         this.publish({ type: "Outcome", endpoint: id, fate: SendResult.Lost }, false);
@@ -114,12 +114,32 @@
     }
 
     /**
-     * Records that the endpoint has been unresponsive for long. It may be busy, so this is no evidence against its data
-     * centre.
+     * Records that the endpoint broke off, or has been unresponsive for long, without telling the other entries. One that is
+     * unresponsive may be busy, so this is no evidence against its data centre.
      */
-    recordUnresponsive({ record }: KnownEndpoint): void {
-        this.publish({ type: "Outcome", endpoint: record.id, fate: SendResult.Silent }, false);
-        this.backOff(record.id, this.self);
+    recordSuspected({ record: { id, dataCentre } }: KnownEndpoint, result: SendResult.Lost | SendResult.Silent): void {
+        if (result === SendResult.Lost) {
+            this.applyLoss(id, dataCentre, this.self);
+        }
+        else {
+            this.backOff(id, this.self);
+        }
+    }
+
+    /** Tells the other entries of a suspected loss. */
+    publishSuspected({ record: { id } }: KnownEndpoint, result: SendResult.Lost | SendResult.Silent): void {
+        this.publish({ type: "Outcome", endpoint: id, fate: result }, false);
+    }
+
+    /** Ends the back-off of a suspected loss, because only this entry's link was lost. */
+    clearSuspected({ record: { id, dataCentre } }: KnownEndpoint): void {
+        this.recentLosses = this.recentLosses.filter(({ endpoint }) => endpoint !== id);
+        this.suspectUntilByDataCentre.delete(dataCentre);
+        const record = this.recordByEndpoint.get(id);
+        if (record) {
+            record.noResponseCount = 0;
+            record.backOffUntil = 0;
+        }
     }
 
     /**
--- a/src/core/quarantine/crashDetector.ts
+++ b/src/core/quarantine/crashDetector.ts
@@ -4,19 +4,15 @@
  * A reset connection or a garbled response says little: the endpoint may live on, and the next request may be served. The
  * process of a crashed endpoint no longer accepts connections, or is another one when the list of endpoints shows it again.
  */
-import { ConnectionCheck, type EndpointPort } from "../../ports/forwardingPorts.js";
 import type { EndpointRecord } from "../../types/routing.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
 import type { Metrics } from "../metrics.js";
+import { type EndpointChecker, EndpointCondition } from "../reachability/endpointChecker.js";
 import { headOfFingerprint, type RequestFingerprint } from "./requestFingerprint.js";
 
-/** Delay of the connection check, in which a process that ends closes its listening socket. */
-const checkDelay: Milliseconds = 10;
 /** Minimum interval between two checks of an endpoint that accepted the first: each takes one of its connections. */
 const checkInterval: Milliseconds = 250;
-/** An instance responds within a few milliseconds, with or without a process that listens. */
-const checkTimeout: Milliseconds = 300;
 /** How long after a response was broken off a new process of the endpoint shows that the earlier one crashed. */
 const restartDetectionDuration: Milliseconds = 10_000;
 
@@ -52,7 +48,7 @@
     clock: Clock;
     log: PartLog;
     metrics: Metrics;
-    endpointPort: EndpointPort;
+    checker: Pick<EndpointChecker, "check">;
     /** Whether an endpoint is shutting down, so that its end is no crash. */
     isLeaving: (endpoint: EndpointRecord) => boolean;
 }
@@ -116,12 +112,24 @@
     }
 
     private async check(broken: BrokenResponses): Promise<void> {
-        const { clock, endpointPort } = this.dependencies;
-        await clock.sleep(checkDelay);
-        const result = await endpointPort.checkConnection(broken.endpoint, checkTimeout);
+        const { clock, checker } = this.dependencies;
+        const condition = await checker.check(broken.endpoint);
         broken.checkedAt = clock.now();
-        if (result === ConnectionCheck.Refused && this.brokenByEndpoint.get(broken.endpoint.id) === broken) {
-            this.reportCrash(broken, "it refuses connections");
+        if (this.brokenByEndpoint.get(broken.endpoint.id) !== broken) {
+            return;
+        }
+        switch (condition) {
+            case EndpointCondition.Refusing:
+                this.reportCrash(broken, "it refuses connections");
+                return;
+            case EndpointCondition.LinkLost:
+            case EndpointCondition.Unknown:
+                // The loss of the link explains the broken responses; a later restart of the endpoint has another cause.
+                this.brokenByEndpoint.delete(broken.endpoint.id);
+                return;
+            case EndpointCondition.Accepting:
+            case EndpointCondition.Unresponsive:
+                return;
         }
     }
 
--- a/src/core/reachability/relays.ts
+++ b/src/core/reachability/relays.ts
@@ -4,8 +4,9 @@
 import { type Random, shuffle } from "../../utils/random.js";
 import type { LivingPeer } from "../membership/peerRegistry.js";
 
-/** Entries that are asked in turn for one connection. */
+/** Entries that are asked in turn for one connection, and at the same time about one endpoint. */
 const maximumAskedInTurn = 3;
+const maximumAskedAtOnce = 5;
 /** How long an entry is asked last after it carried no connection. */
 const unavailableDuration: Milliseconds = 1_000;
 
@@ -37,6 +38,13 @@
         return undefined;
     }
 
+    /** Calls `ask` with several entries at the same time; resolves with the results of those that gave one. */
+    async askAtOnce<Result>(ask: (relay: PeerAddress) => Promise<Result | undefined>): Promise<Result[]> {
+        const asked = this.candidates().slice(0, maximumAskedAtOnce);
+        const results = await Promise.all(asked.map(relay => this.ask(relay, ask)));
+        return results.filter(result => result !== undefined);
+    }
+
     /**
      * Entries to ask, in this order: a near one, one of another data centre, since a whole one may have lost its links, and then
      * any others.
