An endpoint that broke off is avoided once the check has found it at fault

When reset links broke all streams of an entry at once, each endpoint went into back-off for the 20 ms of its check, and the streams met on the one endpoint that had none. The loss is recorded after the check now; a request in between meets a refused connection at worst.

--- a/__tests__/forwarding/placement.test.ts
+++ b/__tests__/forwarding/placement.test.ts
@@ -4,7 +4,7 @@
 import { EndpointSelector, type PlacementRequirements } from "../../src/core/placement/endpointSelector.js";
 import { prefillDuration } from "../../src/core/placement/engineCost.js";
 import { type PlacedWork, WorkPart } from "../../src/core/placement/engineEstimate.js";
-import { FailureTracker, SendResult } from "../../src/core/placement/failureTracker.js";
+import { FailureTracker } from "../../src/core/placement/failureTracker.js";
 import { LoadEstimator } from "../../src/core/placement/loadEstimator.js";
 import { requestValue } from "../../src/core/placement/requestValue.js";
 import { SharedLoadEstimator } from "../../src/core/placement/sharedLoadEstimator.js";
@@ -302,7 +302,7 @@
     // raise the load on the remaining ones by half.
     const fixture = new Fixture(12);
     for (const endpoint of fixture.endpoints.filter(({ record }) => record.dataCentre === "a").slice(0, 3)) {
-        fixture.failures.recordSuspected(endpoint, SendResult.Silent);
+        fixture.failures.suspectSilent(endpoint);
     }
     expect(fixture.failures.isSuspect("a")).toBe(false);
 });
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -12,7 +12,6 @@
 import { FailureKind } from "../failures.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
 import type { Placement } from "../placement/endpointSelector.js";
-import { SendResult } from "../placement/failureTracker.js";
 import type { Admission } from "./admission.js";
 import { EndpointSearch } from "./endpointSearch.js";
 import type { ForwardingDependencies } from "./forwardingDependencies.js";
@@ -131,8 +130,11 @@
 
     private recordLost(endpoint: KnownEndpoint, isStalled: boolean): void {
         const { lossReports, metrics } = this.dependencies;
-        void lossReports.record(endpoint, isStalled ? SendResult.Silent : SendResult.Lost);
-        if (!isStalled) {
+        if (isStalled) {
+            void lossReports.recordSilent(endpoint);
+        }
+        else {
+            void lossReports.recordBroken(endpoint);
             this.quarantineGate.recordBroken(endpoint.record);
         }
         this.progress.attempts.recordBroken(endpoint.record.id);
--- a/src/core/placement/failureTracker.ts
+++ b/src/core/placement/failureTracker.ts
@@ -114,27 +114,20 @@
     }
 
     /**
-     * Records that the endpoint broke off, or has been unresponsive for long, without telling the other entries. One that is
-     * unresponsive may be busy, so this is no evidence against its data centre.
+     * Records that the endpoint has been silent for long, without telling the other entries. It may be busy, so this is no
+     * evidence against its data centre.
      */
-    recordSuspected({ record: { id, dataCentre } }: KnownEndpoint, result: SendResult.Lost | SendResult.Silent): void {
-        if (result === SendResult.Lost) {
-            this.applyLoss(id, dataCentre, this.self);
-        }
-        else {
-            this.backOff(id, this.self);
-        }
+    suspectSilent({ record: { id } }: KnownEndpoint): void {
+        this.backOff(id, this.self);
     }
 
-    /** Tells the other entries of a suspected loss. */
-    publishSuspected({ record: { id } }: KnownEndpoint, result: SendResult.Lost | SendResult.Silent): void {
-        this.publish({ type: "Outcome", endpoint: id, fate: result }, false);
+    /** Tells the other entries of a silent endpoint. */
+    publishSilent({ record: { id } }: KnownEndpoint): void {
+        this.publish({ type: "Outcome", endpoint: id, fate: SendResult.Silent }, false);
     }
 
-    /** Ends the back-off of a suspected loss, because only this entry's link was lost. */
-    clearSuspected({ record: { id, dataCentre } }: KnownEndpoint): void {
-        this.recentLosses = this.recentLosses.filter(({ endpoint }) => endpoint !== id);
-        this.suspectUntilByDataCentre.delete(dataCentre);
+    /** Ends the back-off of a silent endpoint, because only this entry's link was lost. */
+    clearSuspicion({ record: { id } }: KnownEndpoint): void {
         const record = this.recordByEndpoint.get(id);
         if (record) {
             record.noResponseCount = 0;
--- a/src/core/reachability/lossReports.ts
+++ b/src/core/reachability/lossReports.ts
@@ -3,27 +3,33 @@
  * check, an entry that loses its links makes all others avoid sound endpoints.
  */
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
-import type { FailureTracker, SendResult } from "../placement/failureTracker.js";
+import type { FailureTracker } from "../placement/failureTracker.js";
 import { type EndpointChecker, EndpointCondition } from "./endpointChecker.js";
 
 /** Reports the losses that this entry observes. */
 export class LossReports {
     constructor(private readonly checker: EndpointChecker, private readonly failures: FailureTracker) {}
 
-    /** Records that `endpoint` broke off or fell silent. */
-    async record(endpoint: KnownEndpoint, result: SendResult.Lost | SendResult.Silent): Promise<void> {
-        this.failures.recordSuspected(endpoint, result);
-        const condition = await this.checker.check(endpoint.record);
-        switch (condition) {
-            case EndpointCondition.Accepting:
-            case EndpointCondition.Refusing:
-            case EndpointCondition.Unresponsive:
-                this.failures.publishSuspected(endpoint, result);
-                return;
-            case EndpointCondition.LinkLost:
-            case EndpointCondition.Unknown:
-                this.failures.clearSuspected(endpoint);
-                return;
+    /** Records that `endpoint` broke off a response. */
+    async recordBroken(endpoint: KnownEndpoint): Promise<void> {
+        if (await this.isAtFault(endpoint)) {
+            this.failures.recordLost(endpoint);
         }
     }
+
+    /** Records that `endpoint` has been silent for long. This entry avoids it until the check has ended, as it may be slow. */
+    async recordSilent(endpoint: KnownEndpoint): Promise<void> {
+        this.failures.suspectSilent(endpoint);
+        if (await this.isAtFault(endpoint)) {
+            this.failures.publishSilent(endpoint);
+        }
+        else {
+            this.failures.clearSuspicion(endpoint);
+        }
+    }
+
+    private async isAtFault({ record }: KnownEndpoint): Promise<boolean> {
+        const condition = await this.checker.check(record);
+        return condition !== EndpointCondition.LinkLost && condition !== EndpointCondition.Unknown;
+    }
 }
