--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -9,6 +9,7 @@
 import { StoreClient } from "../../../platform/storeClient.js";
 import type { ForwardingSettings } from "../../../src/adapters/forwarding/entrySettings.js";
 import { ForwardingEntry } from "../../../src/adapters/forwarding/forwardingEntry.js";
+import type { EndpointPort } from "../../../src/ports/forwardingPorts.js";
 import { PassEngine } from "../../../src/standins/passEngine.js";
 import { type EngineProfile, PlacementPolicy } from "../../../src/types/routing.js";
 import { splitAddress } from "../../../src/utils/address.js";
@@ -120,6 +121,8 @@
     firstStart?: boolean;
     /** Grace period of a planned stop. */
     graceSeconds?: number;
+    /** Connects to replicas. */
+    endpointPort?: EndpointPort;
 }
 
 /** The site: one store with its replicas and entries. */
@@ -196,6 +199,7 @@
             quarantineStore: new QuarantineObjects(door.address, systemClock),
             memory: new ReplicaOrders(systemClock, this.partLog(id, "memory")),
             wire: platformWire,
+            endpointPort: options.endpointPort,
             log: part => this.partLog(id, part),
         });
         const running = { entry, door, ...await entry.start() };
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -10,6 +10,7 @@
 import { EntryDiscovery } from "../../core/membership/entryDiscovery.js";
 import { PeerState } from "../../core/membership/peerState.js";
 import type { EndpointLoad } from "../../core/placement/loadEstimator.js";
+import type { EndpointPort } from "../../ports/forwardingPorts.js";
 import type { MemoryPort } from "../../ports/memoryPort.js";
 import type { KnownRevisions, PeerIdentity, ReadAges } from "../../ports/peerChannelPort.js";
 import type { QuarantineStorePort } from "../../ports/quarantineStore.js";
@@ -67,6 +68,8 @@
     memory: MemoryPort;
     quarantineStore: QuarantineStorePort;
     wire: ForwardingWire;
+    /** Connects to endpoints; an {@link EndpointClient} by default. */
+    endpointPort?: EndpointPort;
     log: (part: string) => PartLog;
     /** Additional gauges of the surrounding program. */
     gauges?: () => Record<string, number>;
@@ -87,6 +90,7 @@
     private metricsListener: Listener | undefined;
     /** Serves the state queries of other entries. */
     private peerStateListener: Listener | undefined;
+    private resetCarriedConnections = () => {};
     private readonly followers: Followers;
     private readonly peerStateClient: PeerStateClient;
     private entryDiscovery: EntryDiscovery | undefined;
@@ -106,7 +110,7 @@
             self: this.self,
             dataCentre,
             channel: this.peerSocket,
-            endpointPort: new EndpointClient(wire, clock),
+            endpointPort: dependencies.endpointPort ?? new EndpointClient(wire, clock),
             memoryPort: dependencies.memory,
             quarantineStore: dependencies.quarantineStore,
             policy: settings.placement.policy,
@@ -177,6 +181,16 @@
         return this.core.forwarder.isReady && this.plannedStop === undefined;
     }
 
+    /** Number of living entries, this one included. */
+    get livingCount(): number {
+        return this.core.peers.livingCount;
+    }
+
+    /** Number of endpoints that have asked this entry for a pause that lasts. */
+    get pausedCount(): number {
+        return this.core.pauses.count;
+    }
+
     /** Estimated load of an endpoint. */
     loadOf(endpoint: string): EndpointLoad {
         return this.core.loads.loadOf(endpoint);
@@ -193,7 +207,7 @@
             address => this.peerSocket.listen(address),
         );
         this.self.address = this.peerStateListener.address;
-        serveRelay(this.peerStateListener.server, {
+        this.resetCarriedConnections = serveRelay(this.peerStateListener.server, {
             clock: this.dependencies.clock,
             guard: this.core.relayGuard,
             onCarried: () => this.core.metrics.count("carried_connections_total"),
@@ -264,6 +278,7 @@
         }
         this.closeController.abort();
         this.peerSocket.close();
+        this.resetCarriedConnections();
         await Promise.all([
             this.callerPort.close(),
             this.readinessListener?.close(),
--- a/src/adapters/forwarding/relayServer.ts
+++ b/src/adapters/forwarding/relayServer.ts
@@ -23,11 +23,20 @@
     onConnected: (endpoint: EndpointRecord) => void;
 }
 
-/** Serves the `CONNECT` requests that `server` receives. */
-export const serveRelay = (server: http.Server, dependencies: RelayServerDependencies): void => {
+/** Serves the `CONNECT` requests that `server` receives. Returns a function that resets all carried connections. */
+export const serveRelay = (server: http.Server, dependencies: RelayServerDependencies): () => void => {
+    const sockets = new Set<Socket>();
     server.on("connect", (request: http.IncomingMessage, stream: Duplex) => {
-        new CarriedConnection(dependencies, request, stream as Socket).open();
+        const socket = stream as Socket;
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+        new CarriedConnection(dependencies, request, socket).open();
     });
+    return () => {
+        for (const socket of sockets) {
+            socket.resetAndDestroy();
+        }
+    };
 };
 
 /** One connection of another entry. */
