A prompt waits for memory as long as it can still be read in time

A prompt over one engine's memory was refused with 503 when 1,500 ms of its caller's patience were left, whatever its reading takes: with 2 s of patience after half a second, though 0.2 s would have done. The time is that of its prefill on the fewest engines that hold it, with 1,500 ms as the upper bound, so long prompts wait as before. The test failed before with 503 at 0.7 s.

--- a/__tests__/forwarding/largePrompts.test.ts
+++ b/__tests__/forwarding/largePrompts.test.ts
@@ -52,6 +52,19 @@
     await untilAllReleased();
 });
 
+test("prompt waits for memory while it can still be read in time", async () => {
+    // Guards against a caller who gets 503 although the memory comes free early enough for the first event.
+    const first = await site.start("entry-1");
+    const second = await site.start("entry-2", true, { seeds: [first.peers] });
+    await until(() => site.entries.every(({ entry }) => entry.livingCount === 2));
+    const headers = { ...generation(150_000, 500), "dandelionramp-deadline-ms": "5000" };
+    const holding = call(first.callers, "/replies/a", { headers });
+    await until(() => reservationCount() > 0);
+    expect((await sendLargePrompt(second)).status).toBe(200);
+    expect((await holding).status).toBe(200);
+    await untilAllReleased();
+});
+
 test("one engine refuses its part", async () => {
     // Another entry reserved the memory a moment earlier. The reservations that succeeded must be released.
     const entry = await site.start("entry-1");
--- a/src/core/forwarding/endpointSearch.ts
+++ b/src/core/forwarding/endpointSearch.ts
@@ -2,9 +2,11 @@
  * Finds an endpoint for one request. Postpones the request while waiting gives a better placement, and rejects it when no
  * endpoint can serve it in time.
  */
+import type { EngineProfile } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import { FailureKind } from "../failures.js";
 import { exceedsOneEngine, type Placement } from "../placement/endpointSelector.js";
+import { prefillDuration } from "../placement/engineCost.js";
 import type { PlacementRequest } from "../placement/placementClient.js";
 import {
     busyRetrySeconds,
@@ -17,13 +19,23 @@
 import { maximumMemoryRetryDelay, type RequestProgress } from "./requestProgress.js";
 
 /**
- * Least remaining patience for a prompt that needs the memory of several engines to wait for memory. With less time left the
- * prompt could no longer be prefilled.
+ * Remaining patience with which a prompt always waits for memory. The longest prompts take longer to prefill on the fewest
+ * engines that hold them, but more engines may be free.
  */
-const minimumPatienceForMemory: Milliseconds = 1_500;
+const sufficientPatienceForMemory: Milliseconds = 1_500;
 /** Safety factor on the predicted first event of a postponed request, because predictions are less accurate under high load. */
 const postponedPredictionFactor = 1.5;
 
+/** Least remaining patience for a prompt to wait for memory. With less time left it could no longer be prefilled. */
+const minimumPatienceForMemory = (engine: EngineProfile, promptTokens: number, answerTokens: number): Milliseconds => {
+    const fewestEngines = Math.ceil((promptTokens + answerTokens) / engine.memoryTokens);
+    const prefillTime = prefillDuration(engine, promptTokens) / fewestEngines;
+    return Math.min(
+        sufficientPatienceForMemory,
+        postponedPredictionFactor * prefillTime + maximumMemoryRetryDelay,
+    );
+};
+
 /** The search for the endpoints of one request. */
 export class EndpointSearch {
     private wasPostponed = false;
@@ -98,7 +110,7 @@
             .filter(({ record }) => !this.progress.attempts.refusedEndpoints.has(record.id));
         return engine !== undefined && exceedsOneEngine(request.requirements)
             && promptTokens + answerTokens <= engine.memoryTokens * candidates.length
-            && this.progress.patienceLeft > minimumPatienceForMemory;
+            && this.progress.patienceLeft > minimumPatienceForMemory(engine, promptTokens, answerTokens);
     }
 
     /** Returns the placement, or releases it and throws when the request can't end in time. */
