An entry doesn't take its own ended work over from another entry

Nobody ends that work a second time, so its memory seemed taken until the deadline, and the prompt was refused when its time was over. Any entry that starts, or becomes one that chooses for others, could keep such work until its deadline.

--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -311,7 +311,7 @@
         for (const { address } of queriedPeers) {
             const works = await this.peerStateClient.fetchWorkInProgress(address, workQueryTimeout);
             if (works && works.length > 0) {
-                this.core.loads.merge(works);
+                this.core.learnWork(works);
                 this.log.info("The work in progress was learned.", { from: address, works: works.length });
                 return;
             }
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -26,7 +26,7 @@
 import { Eligibility } from "./placement/eligibility.js";
 import { EndpointSelector } from "./placement/endpointSelector.js";
 import { FailureTracker, type SendResult } from "./placement/failureTracker.js";
-import { LoadEstimator } from "./placement/loadEstimator.js";
+import { LoadEstimator, type WorkInProgress } from "./placement/loadEstimator.js";
 import { PlacementClient } from "./placement/placementClient.js";
 import { PlacementServer } from "./placement/placementServer.js";
 import { SharedLoadEstimator } from "./placement/sharedLoadEstimator.js";
@@ -229,6 +229,14 @@
         });
     }
 
+    /**
+     * Adds the work in progress that another entry knows. Its list may still hold work of this entry that has just ended, and no
+     * update would end that a second time.
+     */
+    learnWork(works: readonly WorkInProgress[]): void {
+        this.loads.merge(works.filter(({ owner }) => owner !== this.id));
+    }
+
     /** Whether the endpoint's listed or reported state says that it shuts down. */
     private isLeaving(endpoint: EndpointRecord): boolean {
         const { state } = this.directory.get(endpoint.id)?.record ?? endpoint;
