--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -5,6 +5,7 @@
     type AttemptOutcome,
     ConnectFailure,
     ConnectionCheck,
+    connectionCheckOf,
     type EndpointAttempt,
     type EndpointPort,
     RefusalReason,
@@ -65,7 +66,7 @@
         }
         const connection = await connectByRelay(this.clock, relay, endpoint, timeout);
         if (connection.type === "Failed") {
-            return checkOfFailure(connection.failure);
+            return connectionCheckOf(connection.failure);
         }
         connection.socket.destroy();
         return ConnectionCheck.Accepted;
@@ -89,17 +90,6 @@
     }
 }
 
-const checkOfFailure = (failure: ConnectFailure): ConnectionCheck => {
-    switch (failure) {
-        case ConnectFailure.Refused:
-            return ConnectionCheck.Refused;
-        case ConnectFailure.NoResponse:
-            return ConnectionCheck.NoResponse;
-        case ConnectFailure.RelayUnavailable:
-            return ConnectionCheck.RelayUnavailable;
-    }
-};
-
 interface ExchangeOptions {
     wire: ForwardingWire;
     clock: Clock;
--- a/src/adapters/forwarding/relayServer.ts
+++ b/src/adapters/forwarding/relayServer.ts
@@ -70,18 +70,16 @@
         });
         const abandon = () => endpointSocket.destroy();
         this.entrySocket.once("close", abandon);
-        endpointSocket.once("error", error => {
+        const onConnectError = (error: Error) => {
             stopTimer();
-            if (endpointSocket.connecting || endpointSocket.bytesWritten === 0) {
-                void this.answerFailure(
-                    endpoint,
-                    isConnectionRefused(error) ? RelayStatus.Refused : RelayStatus.NoResponse,
-                );
-            }
-        });
+            const status = isConnectionRefused(error) ? RelayStatus.Refused : RelayStatus.NoResponse;
+            void this.answerFailure(endpoint, status);
+        };
+        endpointSocket.once("error", onConnectError);
         endpointSocket.once("connect", () => {
             stopTimer();
             this.entrySocket.off("close", abandon);
+            endpointSocket.off("error", onConnectError);
             this.dependencies.onConnected(endpoint);
             this.carry(endpointSocket);
         });
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -153,6 +153,18 @@
     RelayUnavailable = "relayUnavailable",
 }
 
+/** The result of a check whose connection failed. */
+export const connectionCheckOf = (failure: ConnectFailure): ConnectionCheck => {
+    switch (failure) {
+        case ConnectFailure.Refused:
+            return ConnectionCheck.Refused;
+        case ConnectFailure.NoResponse:
+            return ConnectionCheck.NoResponse;
+        case ConnectFailure.RelayUnavailable:
+            return ConnectionCheck.RelayUnavailable;
+    }
+};
+
 /** Sends requests to endpoints. */
 export interface EndpointPort {
     /** Called with the endpoint of each new connection of this entry that is established. */
--- a/src/replay/simulatedFleet.ts
+++ b/src/replay/simulatedFleet.ts
@@ -1,8 +1,8 @@
 /** Simulates the engines of a replay as entries reach them: attempts, memory reservations, crashes and stalls. */
 import {
     type AttemptOutcome,
-    ConnectFailure,
     ConnectionCheck,
+    connectionCheckOf,
     type EndpointAttempt,
     type EndpointPort,
     type EndpointReport,
@@ -159,16 +159,7 @@
         relay?: string,
     ): Promise<ConnectionCheck> {
         const connection = await this.connections.connect({ entry, endpoint, timeout, relay });
-        switch (connection) {
-            case ConnectFailure.Refused:
-                return ConnectionCheck.Refused;
-            case ConnectFailure.NoResponse:
-                return ConnectionCheck.NoResponse;
-            case ConnectFailure.RelayUnavailable:
-                return ConnectionCheck.RelayUnavailable;
-            default:
-                return ConnectionCheck.Accepted;
-        }
+        return typeof connection === "string" ? connectionCheckOf(connection) : ConnectionCheck.Accepted;
     }
 
     private async send(
