A carried connection without traffic is reset after a minute

Found on reading: when the entry that wanted a carried connection lost power, its carrier kept both connections for as long as the system kept the sockets, up to 256 of them. The test failed before.

--- a/__tests__/forwarding/relay.test.ts
+++ b/__tests__/forwarding/relay.test.ts
@@ -1,7 +1,12 @@
 /** Tests over sockets that an entry without links to the endpoints connects by way of other entries. */
 import { afterEach, beforeEach, expect, test } from "vitest";
 import type { ReplicaServer } from "../../platform/standins/replicaServer.js";
+import { connectByRelay } from "../../src/adapters/forwarding/relayConnection.js";
+import { type ConnectionGuard, serveRelay } from "../../src/adapters/forwarding/relayServer.js";
+import { systemClock } from "../../src/utils/clock.js";
+import { listen } from "../../src/utils/httpServer.js";
 import { CutEndpointPort } from "./support/cutEndpointPort.js";
+import { endpointRecord } from "./support/endpointRecord.js";
 import { call, eventIds, generation, Site, type SiteEntry, until } from "./support/site.js";
 
 let site: Site;
@@ -147,6 +152,32 @@
     await until(() => others[0]!.entry.pausedCount === arrivalCount());
 });
 
+test("carried connection without traffic is reset", async () => {
+    // Guards against connections that stay open for good because the entry that wanted them has lost power.
+    const replica = await site.replica("r-0", "bookings");
+    replica.fault = () => true;
+    const listener = await listen("127.0.0.1:0", () => Promise.resolve());
+    const record = { ...endpointRecord("r-0"), address: replica.address };
+    const guard: ConnectionGuard = {
+        openConnections: 0,
+        admit: () => record,
+        judgesFailure: () => Promise.resolve(true),
+    };
+    const noop = () => {};
+    serveRelay(listener.server, {
+        clock: systemClock,
+        guard,
+        onCarried: noop,
+        onConnected: noop,
+        idleTimeout: 100,
+    });
+    const connection = await connectByRelay(systemClock, listener.address, record, 500);
+    expect(connection.type).toBe("Connected");
+    expect(guard.openConnections).toBe(1);
+    await until(() => guard.openConnections === 0);
+    await listener.close();
+});
+
 test("request is rejected at once when no entry reaches an endpoint", async () => {
     // Guards against callers who wait until their deadline for endpoints that nobody reaches.
     const { cut, replicas, others } = await startCutSite("bookings");
--- a/src/adapters/forwarding/relayServer.ts
+++ b/src/adapters/forwarding/relayServer.ts
@@ -12,15 +12,22 @@
 
 /** Upper bound of the connect timeout that another entry asks for. */
 const maximumConnectTimeout: Milliseconds = 1_000;
+/** Longer than any pause of a response, and than any caller waits. */
+const defaultIdleTimeout: Milliseconds = 60_000;
+
+/** Decides which connections are carried, and counts them. */
+export type ConnectionGuard = Pick<RelayGuard, "openConnections" | "admit" | "judgesFailure">;
 
 /** Dependencies of {@link serveRelay}. */
 export interface RelayServerDependencies {
     clock: Clock;
-    guard: RelayGuard;
+    guard: ConnectionGuard;
     /** Called for each connection that is carried. */
     onCarried: () => void;
     /** Called with the endpoint of each connection that this entry has established. */
     onConnected: (endpoint: EndpointRecord) => void;
+    /** After this time without a byte a carried connection is reset, as the other entry may have lost power. */
+    idleTimeout?: Milliseconds;
 }
 
 /** Serves the `CONNECT` requests that `server` receives. Returns a function that resets all carried connections. */
@@ -68,7 +75,10 @@
             endpointSocket.destroy();
             void this.answerFailure(endpoint, RelayStatus.NoResponse);
         });
-        const abandon = () => endpointSocket.destroy();
+        const abandon = () => {
+            stopTimer();
+            endpointSocket.destroy();
+        };
         this.entrySocket.once("close", abandon);
         const onConnectError = (error: Error) => {
             stopTimer();
@@ -111,6 +121,10 @@
         endpointSocket.pipe(entrySocket);
         resetWith(endpointSocket, entrySocket);
         resetWith(entrySocket, endpointSocket);
+        entrySocket.setTimeout(
+            this.dependencies.idleTimeout ?? defaultIdleTimeout,
+            () => entrySocket.resetAndDestroy(),
+        );
     }
 }
 
