A carried connection that is reset before it is used doesn't end the process

In the entry the request follows in the same turn of the event loop, so no such end was seen there. The listener is set before the socket is given away.

--- a/src/adapters/forwarding/relayConnection.ts
+++ b/src/adapters/forwarding/relayConnection.ts
@@ -59,6 +59,8 @@
             () => unavailable("the entry that should carry the connection didn't answer"),
         );
         request.once("connect", (response, socket: Socket) => {
+            // A reset before the connection is used would otherwise end the process.
+            socket.on("error", () => {});
             if (response.statusCode === RelayStatus.Connected) {
                 stopTimer();
                 resolve({ type: "Connected", socket });
