--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -31,6 +31,15 @@
 /** An endpoint with estimated prefill work for longer than this, a few engine passes, is expected to send nothing. */
 const maximumBusyDuration: Milliseconds = 200;
 
+/** Why an attempt whose endpoint sends nothing is not abandoned. */
+enum ReasonToWait {
+    /** The request has no attempt left, or may not run again. */
+    NotRepeatable = "notRepeatable",
+    Prefilling = "prefilling",
+    NoAlternative = "noAlternative",
+    NoRetryBudget = "noRetryBudget",
+}
+
 interface BufferedResponse {
     head: ResponseHead;
     body: Buffer;
@@ -43,6 +52,8 @@
     private readonly quarantineGate: QuarantineGate;
     /** Whether a retry was taken from the budget when a stalled endpoint was abandoned. */
     private hasReservedRetry = false;
+    /** Logged once, as a silent endpoint is checked again and again. */
+    private lastReasonToWait: ReasonToWait | undefined;
     /** The last failure response of an endpoint, sent to the caller when no other attempt succeeds. */
     private failureResponse: BufferedResponse | undefined;
 
@@ -310,19 +321,36 @@
      * Whether a stalled endpoint is abandoned: the request may run again, and another endpoint would respond before the caller
      * gives up. Moving to an endpoint that is equally busy would only lose its place in the queue.
      */
-    private async mayAbandon({ record }: KnownEndpoint): Promise<boolean> {
+    private async mayAbandon(endpoint: KnownEndpoint): Promise<boolean> {
+        const reason = await this.findReasonToWait(endpoint);
+        this.hasReservedRetry = reason === undefined;
+        if (reason !== undefined && reason !== this.lastReasonToWait) {
+            this.lastReasonToWait = reason;
+            const isListed = this.dependencies.directory.get(endpoint.record.id) === endpoint;
+            this.progress.log("A silent endpoint is waited for.", endpoint, { reason, isListed });
+        }
+        return this.hasReservedRetry;
+    }
+
+    /** Returns why a stalled endpoint is not abandoned; undefined if it is, with a retry taken from the budget. */
+    private async findReasonToWait({ record }: KnownEndpoint): Promise<ReasonToWait | undefined> {
         if (!this.progress.relay.canContinue || !this.progress.mayRetry(this.progress.admission.isRetryable)) {
-            return false;
+            return ReasonToWait.NotRepeatable;
         }
         const { placement, busyFor } = await this.dependencies.placementClient.findAlternative(
             this.search.placementRequest,
             record.id,
         );
         // An endpoint that prefills a long prompt sends nothing for a while, and no other endpoint would be faster.
-        const shouldAbandon = busyFor < maximumBusyDuration && this.respondsInTime(placement);
-        this.hasReservedRetry = shouldAbandon
-            && this.dependencies.retryBudget.tryTake(this.progress.admission.service.name);
-        return this.hasReservedRetry;
+        if (busyFor >= maximumBusyDuration) {
+            return ReasonToWait.Prefilling;
+        }
+        if (!this.respondsInTime(placement)) {
+            return ReasonToWait.NoAlternative;
+        }
+        return this.dependencies.retryBudget.tryTake(this.progress.admission.service.name)
+            ? undefined
+            : ReasonToWait.NoRetryBudget;
     }
 
     private respondsInTime(placement: Placement | undefined): boolean {
