--- a/src/replay/pattern.ts
+++ b/src/replay/pattern.ts
@@ -21,6 +21,8 @@
 export enum FaultType {
     /** The endpoints crash, and come back cold after the fault's duration. */
     Crashed = "lost",
+    /** The instances of the endpoints lose power: connections hang. New processes take their places after the fault's duration. */
+    PowerLost = "powerLost",
     /** The endpoints accept connections but don't respond. */
     Unresponsive = "silent",
     /** Each engine pass takes `strength` times as long. */
@@ -64,6 +66,8 @@
     targetGap: nonNegativeNumber(),
     /** Milliseconds that a caller waits for the complete response. */
     timeout: nonNegativeNumber(),
+    /** Largest number of endpoints that one request may be sent to. */
+    attempts: setting.wholeNumber(1).prefault("2"),
     /** Value of a request with a prompt of mean length when its response is in time, and when it is late. */
     worth: nonNegativeNumber(),
     worthLate: nonNegativeNumber(),
--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -9,6 +9,7 @@
 } from "../types/routing.js";
 import type { Milliseconds } from "../utils/clock.js";
 import { shuffle } from "../utils/random.js";
+import type { HeldMemory } from "./memoryWatch.js";
 import { FaultType, type Pattern } from "./pattern.js";
 import { type RepeatedTry, sendRepeatedly } from "./repeatedRequests.js";
 import { createReplayRandom, customerName, generateReplayArrivals } from "./replayArrivals.js";
@@ -62,6 +63,8 @@
     leavingReports: LeavingReport[];
     /** Endpoints that a request crashed, with times from the start of traffic. */
     crashes: EndpointCrash[];
+    /** Memory that was held for requests that had ended. */
+    heldMemory: HeldMemory[];
     /** Tries of repeated requests, with times from the start of traffic. */
     repeatedTries: RepeatedTry[];
 }
@@ -128,6 +131,7 @@
         for (const fault of Object.values(pattern.fault)) {
             clock.after(warmUpDuration + fault.at * 1_000, () => this.startFault(fault));
         }
+        this.fleet.watchMemory();
         await clock.run(warmUpDuration);
         const sentBeforeTraffic = this.entries.sentDatagramCount;
         const trafficDuration = pattern.pattern.seconds * 1_000;
@@ -148,6 +152,7 @@
             arrivals,
             leavingReports,
             crashes: this.fleet.crashes.map(crash => sinceTraffic(crash)),
+            heldMemory: this.fleet.memoryWatch.held,
             repeatedTries: repeatedTries.map(attempt => sinceTraffic(attempt)),
         };
     }
@@ -166,6 +171,10 @@
                 this.crashEndpoints(affected);
                 clock.after(duration, () => this.reviveEndpoints(affected));
                 return;
+            case FaultType.PowerLost:
+                this.cutPower(affected);
+                clock.after(duration, () => this.restorePower(affected));
+                return;
             case FaultType.Unresponsive:
                 updateEndpoints(affected, endpoint => endpoint.isUnresponsive = true);
                 clock.after(duration, () => updateEndpoints(affected, endpoint => endpoint.isUnresponsive = false));
@@ -258,20 +267,39 @@
         this.clock.after(coldSeconds * 1_000, () => updateEndpoints(endpoints, ({ record }) => record.coldFor = 0));
     }
 
+    private cutPower(endpoints: readonly SimulatedEndpoint[]): void {
+        updateEndpoints(endpoints, endpoint => {
+            endpoint.powerLossCount++;
+            endpoint.isUnresponsive = true;
+            endpoint.engine.crash();
+        });
+        this.clock.after(crashDetectionDelay, () => this.publishEndpoints());
+    }
+
+    private restorePower(endpoints: readonly SimulatedEndpoint[]): void {
+        updateEndpoints(endpoints, endpoint => {
+            endpoint.isUnresponsive = false;
+            this.startInPlaceOf(endpoint);
+        });
+    }
+
     /** A new endpoint takes the place of one that a request has crashed. */
     private replaceCrashed(endpoint: SimulatedEndpoint): void {
         const { clock } = this;
-        const { coldSeconds } = this.pattern.pattern;
         clock.after(requestCrashDetectionDelay, () => this.publishEndpoints());
-        clock.after(requestCrashRestartDelay, () => {
-            const { id, incarnation } = endpoint.record;
-            const place = id.split(".")[0]!;
-            const record = { ...endpoint.record, id: `${place}.${incarnation}`, incarnation: incarnation + 1 };
-            endpoint.record = { ...record, coldFor: coldSeconds * 1_000 };
-            endpoint.engine.revive();
-            this.publishEndpoints();
-            clock.after(coldSeconds * 1_000, () => endpoint.record.coldFor = 0);
-        });
+        clock.after(requestCrashRestartDelay, () => this.startInPlaceOf(endpoint));
+    }
+
+    /** Starts a cold endpoint with an identifier of its own at the address of one that has ended. */
+    private startInPlaceOf(endpoint: SimulatedEndpoint): void {
+        const { coldSeconds } = this.pattern.pattern;
+        const { id, incarnation } = endpoint.record;
+        const place = id.split(".")[0]!;
+        const record = { ...endpoint.record, id: `${place}.${incarnation}`, incarnation: incarnation + 1 };
+        endpoint.record = { ...record, coldFor: coldSeconds * 1_000 };
+        endpoint.engine.revive();
+        this.publishEndpoints();
+        this.clock.after(coldSeconds * 1_000, () => endpoint.record.coldFor = 0);
     }
 
     private publishEndpoints(): void {
@@ -307,7 +335,7 @@
         timeout: kind.timeout,
         targetLatency: kind.target,
         targetGap: kind.targetGap,
-        attempts: 2,
+        attempts: kind.attempts,
         priority: 1,
         shares: [{ service: replayServiceName, weight: 1 }],
         open: pattern.pattern.customers === 0,
--- a/src/replay/simulatedFleet.ts
+++ b/src/replay/simulatedFleet.ts
@@ -16,6 +16,7 @@
 import { type EndpointRecord, EndpointState, type EngineProfile } from "../types/routing.js";
 import type { Clock, Milliseconds } from "../utils/clock.js";
 import { describeError } from "../utils/errors.js";
+import { MemoryWatch } from "./memoryWatch.js";
 import { createEngineProfile, type Pattern } from "./pattern.js";
 import { ListenState, SimulatedConnections } from "./simulatedConnections.js";
 import { type SimulatedLink, SimulatedLinks } from "./simulatedLinks.js";
@@ -28,6 +29,8 @@
     record: EndpointRecord;
     engine: PassEngine;
     isUnresponsive: boolean;
+    /** How often the instance has lost power. What a process sent or ran before that never ends for its callers. */
+    powerLossCount: number;
     /** Limit in requests per second that responses advertise. */
     limitPerSecond: number | undefined;
     /** Set while the endpoint refuses all requests: the pause that it asks the entries for. */
@@ -65,6 +68,8 @@
     at: Milliseconds;
 }
 
+/** How often the memory of the engines is looked at. */
+const memorySampleInterval: Milliseconds = 50;
 const emptyBytes = Buffer.alloc(0);
 /** How long an endpoint lives after it has begun to run a request that crashes it. */
 const crashDelay: Milliseconds = 60;
@@ -78,6 +83,8 @@
     readonly arrivals: EndpointArrival[] = [];
     readonly leavingReports: LeavingReport[] = [];
     readonly crashes: EndpointCrash[] = [];
+    /** Memory that was held for requests that had ended. */
+    readonly memoryWatch: MemoryWatch;
     /** Called when a request has crashed an endpoint. */
     onCrash: (endpoint: SimulatedEndpoint) => void = () => {};
     private readonly crashingRequestIds = new Set<string>();
@@ -89,6 +96,7 @@
         const { dataCentres } = pattern.pattern;
         const profile = createEngineProfile(pattern);
         this.profile = profile;
+        this.memoryWatch = new MemoryWatch(clock);
         this.links = new SimulatedLinks(clock);
         this.connections = new SimulatedConnections(
             clock,
@@ -109,6 +117,7 @@
             },
             engine: new PassEngine(profile, clock, stallTime),
             isUnresponsive: false,
+            powerLossCount: 0,
             limitPerSecond: undefined,
             requestedPause: undefined,
             reportsLeaving: false,
@@ -126,6 +135,14 @@
         this.crashingRequestIds.add(id);
     }
 
+    /** Watches the memory of all engines from now on. */
+    watchMemory(): void {
+        for (const { record, engine } of this.endpoints) {
+            this.memoryWatch.sample(record.id, [...engine.reservations.values()]);
+        }
+        this.clock.after(memorySampleInterval, () => this.watchMemory());
+    }
+
     /** Returns the port of one entry. */
     portOf(entry: string): EndpointPort {
         const port: EndpointPort = {
@@ -181,6 +198,10 @@
         if (typeof connection === "string") {
             return { type: "Unreached", reason: `no connection: ${connection}`, failure: connection };
         }
+        if (endpoint.isUnresponsive && endpoint.engine.isDead) {
+            await untilAborted(signal);
+            return { type: "Broken", reason: "cancelled" };
+        }
         const { link, isReused, delay } = connection;
         if (!isReused && relay === undefined) {
             port.onConnected(record);
@@ -191,6 +212,9 @@
         if (!await this.passLink(link, signal) || engine.isDead) {
             return { type: "Broken", reason: "the connection was reset" };
         }
+        if (record.id !== attempt.endpoint.id) {
+            return { type: "Refused", reason: RefusalReason.WrongEndpoint, atFault: undefined };
+        }
         const { requestedPause } = endpoint;
         this.arrivals.push({
             endpoint: record.id,
@@ -249,7 +273,8 @@
         if (typeof connection === "string") {
             return ReservationResult.Unknown;
         }
-        const isHeld = this.findEndpoint(endpoint.address).engine.reserve(id, tokens, holdDuration, false);
+        const { record, engine } = this.findEndpoint(endpoint.address);
+        const isHeld = record.id === endpoint.id && engine.reserve(id, tokens, holdDuration, false);
         await this.clock.sleep(connection.delay);
         return isHeld ? ReservationResult.Held : ReservationResult.Refused;
     }
@@ -296,8 +321,10 @@
                 ticket: reservationId,
             })),
         };
+        const run = (emitEvent: (event: number) => void) =>
+            this.memoryWatch.watchRun(request.id, () => engine.run(work, emitEvent, signal));
         if (!this.crashingRequestIds.has(request.id)) {
-            return engine.run(work, emit, signal);
+            return run(emit);
         }
         let hasBegun = false;
         const emitAndCrash = (event: number) => {
@@ -307,7 +334,7 @@
                 this.clock.after(crashDelay, () => this.crash(endpoint, request.id));
             }
         };
-        return engine.run(work, emitAndCrash, signal);
+        return run(emitAndCrash);
     }
 
     private crash(endpoint: SimulatedEndpoint, requestId: string): void {
@@ -332,6 +359,14 @@
     }
 }
 
+const untilAborted = (signal: AbortSignal): Promise<void> =>
+    new Promise(resolve => {
+        if (signal.aborted) {
+            resolve();
+        }
+        signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+
 /** The response of one engine to one attempt, as its events arrive at the entry. */
 class SimulatedResponse implements AsyncIterableIterator<StreamEvent> {
     private readonly receivedEvents: StreamEvent[] = [];
@@ -341,6 +376,7 @@
     private notifyReader: () => void = () => {};
     private resolveOutcome: (outcome: AttemptOutcome) => void = () => {};
     private readonly closeConnection: () => void;
+    private readonly powerLossCount: number;
 
     constructor(
         private readonly clock: Clock,
@@ -351,6 +387,7 @@
         private readonly reportHead: (mayLiftLimit: boolean) => void,
         private readonly findAddress: (engine: PassEngine) => string | undefined,
     ) {
+        this.powerLossCount = endpoint.powerLossCount;
         signal.addEventListener("abort", () => this.end(new StreamBrokenError("cancelled")), { once: true });
         this.closeConnection = link.openConnection(() => this.end(new StreamBrokenError("the connection was reset")));
     }
@@ -395,7 +432,11 @@
     }
 
     private afterTransit(action: () => void): void {
-        this.clock.after(this.transitDelay, () => this.link.deliver(action));
+        this.clock.after(this.transitDelay, () => {
+            if (this.endpoint.powerLossCount === this.powerLossCount) {
+                this.link.deliver(action);
+            }
+        });
     }
 
     private receiveEvent(event: number): void {
