Memory of a prompt is renewed only while the endpoint that runs it holds its own lease

Callers saw 503 and waits on endpoints whose memory nobody used: 163,445 tokens stayed set aside for 10.9 s after their request had ended with its endpoint (4 s allowed). Cause: an entry took a request for in progress as long as its connection neither answered nor ended, which is until the deadline where the instance has lost power. It renewed the memory at the other members all along, and read nothing from the renewals that the running endpoint no longer answered.

The renewals are the heartbeat now: the other members' leases follow a confirmed renewal, or an event, of the running endpoint. When its own lease has lapsed there, the endpoint would cut the request off, so the attempt ends: another endpoint gets it where the route allows one, else its caller is told.

A running endpoint that stands still for a second keeps its request.

--- a/src/core/forwarding/memoryHold.ts
+++ b/src/core/forwarding/memoryHold.ts
@@ -4,6 +4,11 @@
  * All reservations are requested at once and released when any of them fails, because two entries that each held half of what
  * they need would deadlock. A failed request tries again after a random delay. Reservations are short leases that are renewed
  * only while the request runs, so endpoints free the memory of an entry that dies.
+ *
+ * The endpoint that runs the request may end without resetting its connection, for instance when its instance loses power.
+ * The request would seem in progress until its deadline, and the memory at the other endpoints would be lost to all others
+ * until then. So the other leases are renewed only while the running endpoint answers its own renewals or sends events. Once
+ * its lease has lapsed, the request is over: an endpoint cuts a request off when its memory lapses.
  */
 import type { MemoryPort, MemoryReservation } from "../../ports/memoryPort.js";
 import { ReservationResult } from "../../ports/memoryPort.js";
@@ -18,6 +23,8 @@
 const reservationDuration: Milliseconds = 1_900;
 /** Interval between renewals; the lease survives the loss of two renewals in a row. */
 const renewInterval: Milliseconds = 600;
+/** Interval between attempts to renew the lease of a running endpoint that doesn't answer. */
+const unansweredRenewInterval: Milliseconds = 100;
 /** Endpoints respond within a few milliseconds; a longer wait for one that does not is not worth its delay. */
 const responseTimeout: Milliseconds = 400;
 /** After this many failed release attempts the entry stops retrying and the lease expires. */
@@ -30,25 +37,33 @@
     memoryPort: MemoryPort;
 }
 
+/** The memory that one attempt needs. */
+export interface MemoryNeed {
+    requestId: string;
+    /** The first one is at the endpoint that runs the request. */
+    reservations: readonly [MemoryReservation, ...MemoryReservation[]];
+    /** Called when the lease at the endpoint that runs the request has lapsed, which ends the request there. */
+    onLapsed: () => void;
+}
+
 /** The memory that is reserved for one attempt. */
 export class MemoryHold {
     private readonly releaseController = new AbortController();
+    /** When the running endpoint last showed that it holds the memory, on the local clock. */
+    private confirmedAt: Milliseconds = 0;
 
-    private constructor(
-        private readonly dependencies: MemoryHoldDependencies,
-        private readonly reservations: readonly MemoryReservation[],
-        private readonly requestId: string,
-    ) {}
+    private constructor(private readonly dependencies: MemoryHoldDependencies, private readonly need: MemoryNeed) {}
 
-    /** Reserves all of `reservations`. When any of them fails, all are released and the endpoints that failed are returned. */
+    /** Reserves all of the memory. When a part of it fails, all is released and the endpoints that failed are returned. */
     static async acquire(
         dependencies: MemoryHoldDependencies,
-        reservations: readonly MemoryReservation[],
-        requestId: string,
+        need: MemoryNeed,
     ): Promise<{ hold: MemoryHold; } | { endpointsWithoutMemory: string[]; }> {
-        const hold = new MemoryHold(dependencies, reservations, requestId);
+        const { reservations, requestId } = need;
+        const hold = new MemoryHold(dependencies, need);
         const results = await Promise.all(reservations.map(reservation => hold.reserve(reservation)));
         if (results.every(result => result === ReservationResult.Held)) {
+            hold.confirm();
             void hold.renewPeriodically();
             return { hold };
         }
@@ -71,43 +86,82 @@
     /** Releases the reservations for which `mayBeHeld` is true. */
     release(mayBeHeld: (reservation: MemoryReservation) => boolean = () => true): void {
         abortQuietly(this.releaseController);
-        for (const reservation of this.reservations.filter(mayBeHeld)) {
+        for (const reservation of this.need.reservations.filter(mayBeHeld)) {
             void this.releaseReservation(reservation);
         }
     }
 
+    /** Records that the running endpoint holds the memory: it has renewed the lease, or sent an event of the response. */
+    confirm(): void {
+        this.confirmedAt = this.dependencies.clock.now();
+    }
+
     private reserve(reservation: MemoryReservation): Promise<ReservationResult> {
         return this.dependencies.memoryPort.reserve(reservation, reservationDuration, responseTimeout);
     }
 
     private async renewPeriodically(): Promise<void> {
         const { signal } = this.releaseController;
+        const [running, ...others] = this.need.reservations;
         for (;;) {
             await this.dependencies.clock.sleep(renewInterval, signal);
-            if (signal.aborted) {
+            if (signal.aborted || !await this.renewRunning(running)) {
                 return;
             }
-            for (const reservation of this.reservations) {
-                void this.renewReservation(reservation);
+            for (const reservation of others) {
+                void this.renew(reservation);
+            }
+        }
+    }
+
+    /**
+     * Renews the lease of the running endpoint, again and again until it answers or sends an event. Resolves with false when the
+     * memory was released or the lease has lapsed meanwhile.
+     */
+    private async renewRunning(reservation: MemoryReservation): Promise<boolean> {
+        const { clock, log } = this.dependencies;
+        const { signal } = this.releaseController;
+        for (;;) {
+            const startedAt = clock.now();
+            if (await this.renew(reservation)) {
+                this.confirm();
+            }
+            if (signal.aborted) {
+                return false;
+            }
+            if (this.confirmedAt >= startedAt) {
+                return true;
+            }
+            // An attempt that began after the lease had lapsed decides, because this entry itself may have been paused.
+            if (startedAt - this.confirmedAt >= reservationDuration) {
+                log.warn("Memory has lapsed at the endpoint that runs the request.", {
+                    requestId: this.need.requestId,
+                    endpoint: reservation.endpoint.id,
+                    unansweredFor: clock.now() - this.confirmedAt,
+                });
+                this.need.onLapsed();
+                return false;
             }
+            await clock.sleep(unansweredRenewInterval, signal);
         }
     }
 
-    private async renewReservation(reservation: MemoryReservation): Promise<void> {
+    /** Renews one lease; resolves with whether the endpoint confirmed it. */
+    private async renew(reservation: MemoryReservation): Promise<boolean> {
         const result = await this.reserve(reservation);
         if (this.releaseController.signal.aborted) {
             // The endpoint may have received the renewal after the release.
             await this.releaseReservation(reservation);
-            return;
+            return false;
         }
         if (result !== ReservationResult.Held) {
-            const { requestId } = this;
             this.dependencies.log.info("Memory can't be renewed.", {
-                requestId,
+                requestId: this.need.requestId,
                 endpoint: reservation.endpoint.id,
                 answer: result,
             });
         }
+        return result === ReservationResult.Held;
     }
 
     private async releaseReservation(reservation: MemoryReservation): Promise<void> {
@@ -117,7 +171,7 @@
             }
         }
         this.dependencies.log.warn("Memory can't be given back; it lapses.", {
-            requestId: this.requestId,
+            requestId: this.need.requestId,
             endpoint: reservation.endpoint.id,
             lapsesIn: reservationDuration,
         });
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -67,12 +67,23 @@
     /** The endpoint, or a helper, stopped accepting requests while memory was reserved; nothing was sent. */
     | { type: "Withdrawn"; };
 
+/** What waiting for an endpoint led to. */
+type WaitResult<Result> =
+    | { type: "Arrived"; result: Result; }
+    | { type: "Abandoned"; reason: string; };
+
+/** How long a response that may be on its way is waited for after its endpoint was lost. */
+const lossGracePeriod: Milliseconds = 100;
 const stallReason = (timeout: Milliseconds): string => `nothing received for ${Math.round(timeout)} ms`;
 
 /** Runs one attempt. */
 export class Sender {
     private readonly abortController = new AbortController();
     private hold: MemoryHold | undefined;
+    /** Why nothing more can arrive from the endpoint, once that is known. */
+    private lossReason: string | undefined;
+    /** Called when {@link lossReason} becomes known while a response or an event is waited for. */
+    private onLost: () => void = () => {};
 
     private constructor(private readonly dependencies: ForwardingDependencies, private readonly dispatch: Dispatch) {}
 
@@ -103,14 +114,15 @@
         if (signal.aborted) {
             end();
         }
-        const outcome = await this.waitUnlessStalled(
+        const waited = await this.waitUnlessStalled(
             this.sendToEndpoint(),
             this.dispatch.stallPolicy.firstEventTimeout,
         );
-        if (outcome === undefined) {
+        if (waited.type === "Abandoned") {
             this.finish();
-            return { type: "Silent", reason: stallReason(this.dispatch.stallPolicy.firstEventTimeout) };
+            return { type: "Silent", reason: waited.reason };
         }
+        const outcome = waited.result;
         if (outcome.type === "Streaming") {
             return { ...outcome, events: this.watchStream(outcome.events) };
         }
@@ -133,16 +145,20 @@
     /** Reserves the memory of the placement. Resolves with the endpoints that lack it; empty when all of it is reserved. */
     private async reserveMemory(): Promise<string[]> {
         const { placement, request, attemptNumber } = this.dispatch;
-        if (placement.shares.length === 0) {
-            return [];
-        }
-        const reservations = placement.shares.map(({ endpoint, tokens }, index) => ({
+        const [running, ...others] = placement.shares.map(({ endpoint, tokens }, index) => ({
             id: reservationIdFor(request.id, attemptNumber, index),
             endpoint: endpoint.record,
             tokens,
             onReport: this.reportListener(endpoint.record),
         }));
-        const acquired = await MemoryHold.acquire(this.dependencies, reservations, request.id);
+        if (running === undefined) {
+            return [];
+        }
+        const acquired = await MemoryHold.acquire(this.dependencies, {
+            requestId: request.id,
+            reservations: [running, ...others],
+            onLapsed: () => this.recordLost("its memory lapsed at the endpoint"),
+        });
         if ("endpointsWithoutMemory" in acquired) {
             return acquired.endpointsWithoutMemory;
         }
@@ -186,16 +202,27 @@
         );
     }
 
+    /** Records that nothing more can arrive from the endpoint. */
+    private recordLost(reason: string): void {
+        this.lossReason ??= reason;
+        this.onLost();
+    }
+
     /**
-     * Waits for `work`. Resolves with undefined when nothing arrived within `timeout` and the request may go elsewhere.
+     * Waits for `work` until the endpoint is lost, or until nothing arrived within `timeout` and the request may go elsewhere.
      *
      * An endpoint or a connection can stall while health checks succeed and new connections work. Without a bound the caller
      * would give up first. The work is cancelled only once another endpoint can take it over: a stall alone ends no response.
      */
-    private waitUnlessStalled<Result>(work: Promise<Result>, timeout: Milliseconds): Promise<Result | undefined> {
+    private waitUnlessStalled<Result>(work: Promise<Result>, timeout: Milliseconds): Promise<WaitResult<Result>> {
         const { clock } = this.dependencies;
         return new Promise((resolve, reject) => {
             let isOver = false;
+            let stopLossTimer = () => {};
+            const abandon = (reason: string) => {
+                abortQuietly(this.abortController);
+                resolve({ type: "Abandoned", reason });
+            };
             const check = async () => {
                 const shouldAbandon = !this.abortController.signal.aborted
                     && await this.dispatch.stallPolicy.mayAbandon();
@@ -203,16 +230,24 @@
                     return;
                 }
                 if (shouldAbandon) {
-                    abortQuietly(this.abortController);
-                    resolve(undefined);
+                    abandon(stallReason(timeout));
                     return;
                 }
                 stopTimer = clock.after(timeout * stallRecheckFraction, () => void check());
             };
             let stopTimer = clock.after(timeout, () => void check());
-            work.then(resolve, reject).finally(() => {
+            this.onLost = () => {
+                stopLossTimer();
+                stopLossTimer = clock.after(lossGracePeriod, () => abandon(this.lossReason!));
+            };
+            if (this.lossReason !== undefined) {
+                this.onLost();
+            }
+            work.then(result => resolve({ type: "Arrived", result }), reject).finally(() => {
                 isOver = true;
+                this.onLost = () => {};
                 stopTimer();
+                stopLossTimer();
             });
         });
     }
@@ -223,15 +258,16 @@
         let timeout = this.dispatch.stallPolicy.firstEventTimeout;
         try {
             for (;;) {
-                const next = await this.waitUnlessStalled(iterator.next(), timeout);
-                if (next === undefined) {
-                    throw new StreamStalledError(stallReason(timeout));
+                const waited = await this.waitUnlessStalled(iterator.next(), timeout);
+                if (waited.type === "Abandoned") {
+                    throw new StreamStalledError(waited.reason);
                 }
-                if (next.done) {
+                if (waited.result.done) {
                     return;
                 }
+                this.hold?.confirm();
                 timeout = this.dispatch.stallPolicy.eventGapTimeout;
-                yield next.value;
+                yield waited.result.value;
             }
         }
         finally {
