Attempts end when the process of their endpoint has ended

Callers of endpoints that lost power waited until their deadline, or gave up after 12 s. The list of endpoints dropped the process after 3.6 s and logged it, but told no attempt in progress, so that the caller, the placed work at all members and the budgets hung on it.

An attempt now watches the process of its endpoint. Another process under the same identifier ends it; a record that is gone is verified by a connection check first, because endpoints that shut down are dropped from the list and go on serving: nobody can connect, or another endpoint is listed at the address. A lost link, a store outage and an endpoint that still sends end nothing. Stalled attempts verify it again.

--- a/__tests__/forwarding/endedEndpoints.test.ts
+++ b/__tests__/forwarding/endedEndpoints.test.ts
@@ -26,22 +26,26 @@
 /** The index of an engine decides its data centre; those of the second one lose power. */
 const losesPower = (endpoint: unknown): boolean => Number(/^engine-(\d+)$/.exec(String(endpoint))?.[1]) % 3 === 1;
 
-/** How long after the loss of power each request ended that was in progress at an endpoint without power. */
+/** How long after the loss of power each attempt ended that was in progress at an endpoint without power. */
 const timesUntilEnd = ({ lines }: ReplayResult): Milliseconds[] => {
-    const lastSentTo = new Map<unknown, unknown>();
-    const endedAt = new Map<unknown, Milliseconds>();
+    const attemptByRequest = new Map<unknown, unknown>();
+    const durations: Milliseconds[] = [];
     for (const { time, message, fields } of lines) {
-        if (message === "request: Sent." && time < powerLostAt) {
-            lastSentTo.set(fields.requestId, fields.endpoint);
+        const { requestId, endpoint } = fields;
+        const isSend = message === "request: Sent.";
+        if (!isSend && !endMessages.has(message)) {
+            continue;
         }
-        if (endMessages.has(message)) {
-            endedAt.set(fields.requestId, time);
+        if (time >= powerLostAt && losesPower(attemptByRequest.get(requestId))) {
+            durations.push(time - powerLostAt);
+        }
+        attemptByRequest.delete(requestId);
+        if (isSend && time < powerLostAt) {
+            attemptByRequest.set(requestId, endpoint);
         }
     }
-    const affected = [...lastSentTo].filter(([id, endpoint]) =>
-        losesPower(endpoint) && (endedAt.get(id) ?? Infinity) >= powerLostAt
-    );
-    return affected.map(([id]) => (endedAt.get(id) ?? Infinity) - powerLostAt);
+    expect([...attemptByRequest.values()].filter(losesPower)).toEqual([]);
+    return durations;
 };
 
 for (const entries of entryCounts) {
--- a/__tests__/forwarding/largePrompts.test.ts
+++ b/__tests__/forwarding/largePrompts.test.ts
@@ -179,3 +179,22 @@
     expect(replicas.flatMap(({ arrivals }) => arrivals)).toHaveLength(1);
     await untilAllReleased();
 });
+
+test("endpoint falls silent while it reads a prompt that is sent once", async () => {
+    // Guards against a caller and memory that are kept until the deadline by an endpoint that lost power.
+    site.configure(2, { once: { timeout_ms: 10_000, attempts: 1 } });
+    const entry = await site.start("entry-1");
+    for (const replica of replicas) {
+        replica.fault = () => {
+            replica.orderFault = () => true;
+            return true;
+        };
+    }
+    const answer = await call(entry.callers, "/once/a", {
+        headers: { ...largePromptHeaders, "dandelionramp-deadline-ms": "10000" },
+    });
+    expect(answer.status).toBe(502);
+    expect(answer.body).toContain("its memory lapsed at the endpoint");
+    expect(answer.took).toBeLessThan(6_000);
+    await untilAllReleased();
+});
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -33,6 +33,7 @@
 import { CrashDetector } from "./quarantine/crashDetector.js";
 import { Quarantine } from "./quarantine/quarantine.js";
 import { QuarantineKeeper } from "./quarantine/quarantineKeeper.js";
+import { EndedProcesses } from "./reachability/endedProcesses.js";
 import { EndpointChecker } from "./reachability/endpointChecker.js";
 import { LinkTracker } from "./reachability/linkTracker.js";
 import { LossReports } from "./reachability/lossReports.js";
@@ -163,7 +164,14 @@
             isLeaving: endpoint => this.isLeaving(endpoint),
         });
         crashDetector.onCrash = crash => this.quarantine.recordCrash(crash);
-        directory.onRestart = id => crashDetector.recordRestart(id);
+        const endedProcesses = new EndedProcesses({ log: log("directory"), directory, checker });
+        directory.onReplaced = previous => {
+            if (previous.state === EndpointState.Ready) {
+                crashDetector.recordRestart(previous.id);
+            }
+            endedProcesses.recordReplaced(previous);
+        };
+        directory.onGone = endpoint => void endedProcesses.verify(endpoint);
         this.placementClient = new PlacementClient({
             clock,
             log: log("placing"),
@@ -213,6 +221,7 @@
             loadEstimator: this.loads,
             failureTracker: this.failures,
             lossReports: new LossReports(checker, this.failures),
+            endedProcesses,
             retryBudget: new SharedRetryBudget(clock, dependencies.retryLimits, () => this.membership.budgetDivisor),
             coldBudget,
             eligibility,
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -18,6 +18,7 @@
 import type { SharedLoadEstimator } from "../placement/sharedLoadEstimator.js";
 import type { CrashDetector } from "../quarantine/crashDetector.js";
 import type { Quarantine } from "../quarantine/quarantine.js";
+import type { EndedProcesses } from "../reachability/endedProcesses.js";
 import type { LossReports } from "../reachability/lossReports.js";
 
 /** A planned stop of this entry. Times are on the local clock. */
@@ -40,6 +41,7 @@
     loadEstimator: SharedLoadEstimator;
     failureTracker: FailureTracker;
     lossReports: LossReports;
+    endedProcesses: EndedProcesses;
     retryBudget: SharedRetryBudget;
     coldBudget: ColdBudget;
     eligibility: Eligibility;
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -72,8 +72,8 @@
     | { type: "Arrived"; result: Result; }
     | { type: "Abandoned"; reason: string; };
 
-/** How long a response that may be on its way is waited for after its endpoint was lost. */
-const lossGracePeriod: Milliseconds = 100;
+/** How long a response that may be on its way from a lost endpoint is waited for at least. */
+const minimumLossGracePeriod: Milliseconds = 100;
 const stallReason = (timeout: Milliseconds): string => `nothing received for ${Math.round(timeout)} ms`;
 
 /** Runs one attempt. */
@@ -84,6 +84,7 @@
     private lossReason: string | undefined;
     /** Called when {@link lossReason} becomes known while a response or an event is waited for. */
     private onLost: () => void = () => {};
+    private stopWatching: () => void = () => {};
 
     private constructor(private readonly dependencies: ForwardingDependencies, private readonly dispatch: Dispatch) {}
 
@@ -109,6 +110,10 @@
             this.finish();
             return { type: "Withdrawn" };
         }
+        this.stopWatching = this.dependencies.endedProcesses.watch(
+            placement.endpoint.record,
+            reason => this.recordLost(reason),
+        );
         const end = () => abortQuietly(this.abortController);
         signal.addEventListener("abort", end, { once: true });
         if (signal.aborted) {
@@ -215,11 +220,16 @@
      * would give up first. The work is cancelled only once another endpoint can take it over: a stall alone ends no response.
      */
     private waitUnlessStalled<Result>(work: Promise<Result>, timeout: Milliseconds): Promise<WaitResult<Result>> {
-        const { clock } = this.dependencies;
+        const { clock, endedProcesses } = this.dependencies;
+        const { placement, admission } = this.dispatch;
+        // An endpoint that still sends events isn't lost, whatever else says so.
+        const lossGracePeriod = Math.max(minimumLossGracePeriod, admission.route.targetGap ?? 0);
+        const startedAt = clock.now();
         return new Promise((resolve, reject) => {
             let isOver = false;
             let stopLossTimer = () => {};
             const abandon = (reason: string) => {
+                isOver = true;
                 abortQuietly(this.abortController);
                 resolve({ type: "Abandoned", reason });
             };
@@ -233,19 +243,24 @@
                     abandon(stallReason(timeout));
                     return;
                 }
+                void endedProcesses.verify(placement.endpoint.record);
                 stopTimer = clock.after(timeout * stallRecheckFraction, () => void check());
             };
             let stopTimer = clock.after(timeout, () => void check());
-            this.onLost = () => {
+            const abandonAfterGracePeriod = () => {
                 stopLossTimer();
-                stopLossTimer = clock.after(lossGracePeriod, () => abandon(this.lossReason!));
+                const gracePeriodLeft = Math.max(0, startedAt + lossGracePeriod - clock.now());
+                stopLossTimer = clock.after(gracePeriodLeft, () => abandon(this.lossReason!));
             };
+            this.onLost = abandonAfterGracePeriod;
             if (this.lossReason !== undefined) {
-                this.onLost();
+                abandonAfterGracePeriod();
             }
             work.then(result => resolve({ type: "Arrived", result }), reject).finally(() => {
                 isOver = true;
-                this.onLost = () => {};
+                if (this.onLost === abandonAfterGracePeriod) {
+                    this.onLost = () => {};
+                }
                 stopTimer();
                 stopLossTimer();
             });
@@ -280,6 +295,7 @@
 
     private finish(): void {
         const { placement, request } = this.dispatch;
+        this.stopWatching();
         this.hold?.release();
         this.hold = undefined;
         this.dependencies.loadEstimator.recordEnded(endpointsOfPlacement(placement), request.id);
--- a/src/core/membership/endpointDirectory.ts
+++ b/src/core/membership/endpointDirectory.ts
@@ -27,8 +27,10 @@
 
 /** Endpoints from the store, with a cache of the usable ones of each service. */
 export class EndpointDirectory implements StateSink<EndpointRecord> {
-    /** Called when a ready endpoint is listed with another process than before. */
-    onRestart: (id: string) => void = () => {};
+    /** Called with the earlier record when an endpoint is listed with another process than before. */
+    onReplaced: (previous: EndpointRecord) => void = () => {};
+    /** Called when an endpoint is no longer listed. It may have ended, or shuts down and still serves. */
+    onGone: (endpoint: EndpointRecord) => void = () => {};
     private readonly endpointById = new Map<string, KnownEndpoint>();
     private readonly excludedDataCentreNames = new Set<string>();
     private usableByService = new Map<string, KnownEndpoint[]>();
@@ -155,11 +157,11 @@
                 revision,
             });
         }
-        if (previous?.record.state === EndpointState.Ready && previous.record.incarnation !== record.incarnation) {
-            this.onRestart(id);
-        }
         const coldUntil = record.coldFor > 0 ? this.clock.now() + record.coldFor : 0;
         this.endpointById.set(id, { record, revision, coldUntil, expiresAt: undefined });
+        if (previous && previous.record.incarnation !== record.incarnation) {
+            this.onReplaced(previous.record);
+        }
     }
 
     private handleMissingRecord(id: string, wasAway: boolean): void {
@@ -173,17 +175,21 @@
             return;
         }
         if (endpoint.expiresAt === undefined) {
-            this.endpointById.delete(id);
-            this.log.info("An endpoint is gone.", { endpoint: id });
+            this.remove(endpoint);
         }
     }
 
+    private remove({ record }: KnownEndpoint): void {
+        this.endpointById.delete(record.id);
+        this.log.info("An endpoint is gone.", { endpoint: record.id });
+        this.onGone(record);
+    }
+
     private dropExpired(): void {
         const now = this.clock.now();
-        for (const [id, { expiresAt }] of this.endpointById) {
-            if (expiresAt !== undefined && now >= expiresAt) {
-                this.endpointById.delete(id);
-                this.log.info("An endpoint is gone.", { endpoint: id });
+        for (const endpoint of [...this.endpointById.values()]) {
+            if (endpoint.expiresAt !== undefined && now >= endpoint.expiresAt) {
+                this.remove(endpoint);
             }
         }
         this.invalidateCache();
