--- a/__tests__/forwarding/quarantine.test.ts
+++ b/__tests__/forwarding/quarantine.test.ts
@@ -20,6 +20,7 @@
         arrivedAt: 0,
         lastEventId: undefined,
         size: undefined,
+        sharedParts: [],
         body: Buffer.from(body),
     };
     return new RequestFingerprint(forwarded, "north");
@@ -40,7 +41,7 @@
         this.crashCount++;
         for (const entry of new Set(present.map(([present]) => present))) {
             const requests = present.filter(([other]) => other === entry)
-                .map(([, { value }, servedFor]) => ({ request: value, servedFor }));
+                .map(([, { value }, servedFor]) => ({ request: value, servedFor, sharedParts: [] }));
             entry.recordCrash({ endpoint: `e-${this.crashCount}`, incarnation: 1, at: this.clock.now(), requests });
         }
     }
--- a/src/core/forwarding/quarantineGate.ts
+++ b/src/core/forwarding/quarantineGate.ts
@@ -43,7 +43,11 @@
     recordBroken(endpoint: EndpointRecord): void {
         const { crashDetector, clock } = this.progress.dependencies;
         const servedFor = clock.now() - this.servingSince;
-        crashDetector.recordBroken(endpoint, { request: this.progress.fingerprint.value, servedFor });
+        crashDetector.recordBroken(endpoint, {
+            request: this.progress.fingerprint.value,
+            servedFor,
+            sharedParts: this.progress.request.sharedParts,
+        });
     }
 
     /** Records that an endpoint has served the request to its end. */
--- a/src/core/quarantine/crashDetector.ts
+++ b/src/core/quarantine/crashDetector.ts
@@ -22,6 +22,8 @@
     request: string;
     /** How long the endpoint had been serving it. */
     servedFor: Milliseconds;
+    /** Parts of its prompt that other requests may share. */
+    sharedParts: readonly string[];
 }
 
 /** An endpoint process that crashed, with the requests that it was serving for this entry. */
@@ -141,6 +143,7 @@
             endpoint: id,
             incarnation,
             requests: requests.map(({ request }) => request),
+            parts: [...new Set(requests.flatMap(({ sharedParts }) => sharedParts))],
             reason,
         });
         this.onCrash({ endpoint: id, incarnation, at: firstAt, requests });
--- a/src/core/quarantine/crashLog.ts
+++ b/src/core/quarantine/crashLog.ts
@@ -102,8 +102,9 @@
 }
 
 /** Converts requests that were present at a crash to how long each was served. */
-export const mapServedFor = (requests: readonly CrashedRequest[]): Map<string, Milliseconds> =>
-    new Map(requests.map(({ request, servedFor }) => [request, servedFor]));
+export const mapServedFor = (
+    requests: readonly Pick<CrashedRequest, "request" | "servedFor">[],
+): Map<string, Milliseconds> => new Map(requests.map(({ request, servedFor }) => [request, servedFor]));
 
 /** The requests served shortest come first, because they are the likely causes. */
 const toReport = ({ endpoint, incarnation, at, servedFor }: Crash, now: Milliseconds): CrashReport => ({
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -32,6 +32,8 @@
     /** Last event of the stream that the caller already has. */
     lastEventId: string | undefined;
     size: GenerationSize | undefined;
+    /** Identifiers of the parts of the prompt that other requests may share, in order; none where the prompt isn't known. */
+    sharedParts: readonly string[];
 }
 
 /** A request with its complete body. */
--- a/src/replay/pattern.ts
+++ b/src/replay/pattern.ts
@@ -17,6 +17,10 @@
         .refine(text => (parseNonNegativeNumber(text) ?? 2) <= 1, "expected a number from 0 to 1")
         .transform(Number);
 
+const partList = () =>
+    z.string("expected text").prefault("")
+        .transform(text => text.split(",").map(part => part.trim()).filter(part => part !== ""));
+
 /** Faults that a pattern can inject into endpoints or entries. */
 export enum FaultType {
     /** The endpoints crash, and come back cold after the fault's duration. */
@@ -68,6 +72,9 @@
     timeout: nonNegativeNumber(),
     /** Largest number of endpoints that one request may be sent to. */
     attempts: setting.wholeNumber(1).prefault("2"),
+    /** Parts of the prompts that requests share, in order, separated by commas, and the share of the requests that have them. */
+    parts: partList(),
+    partsShare: ratio().prefault("1"),
     /** Value of a request with a prompt of mean length when its response is in time, and when it is late. */
     worth: nonNegativeNumber(),
     worthLate: nonNegativeNumber(),
@@ -119,6 +126,23 @@
     customer: setting.wholeNumber(1).prefault("1"),
 });
 
+const crashingPartSchema = z.strictObject({
+    kind: setting.text(),
+    /** Start, in seconds from the start of traffic, and duration in seconds. */
+    at: nonNegativeNumber(),
+    seconds: nonNegativeNumber(),
+    /** Requests with the part per second. */
+    rate: nonNegativeNumber(),
+    /** Shared parts of these requests, in order, separated by commas; one of them crashes endpoints. */
+    parts: partList(),
+    /** Share of the requests that have only the crashing part and an own one before it. */
+    apartShare: ratio().prefault("0"),
+    /** The crashing part. */
+    part: setting.text(),
+    /** Customer that sends the requests, by rank. */
+    customer: setting.wholeNumber(1).prefault("1"),
+});
+
 const patternSchema = z.strictObject({
     pattern: z.strictObject({
         /** Duration of the traffic in seconds. */
@@ -155,10 +179,12 @@
     rush: z.record(z.string(), rushSchema).default({}),
     /** Requests that callers send again with the same path and body, whatever became of them. */
     repeated: z.record(z.string(), repeatedRequestSchema).default({}),
+    /** Parts of prompts that crash each engine that begins to write an answer on them. No two requests are alike. */
+    crashingPart: z.record(z.string(), crashingPartSchema).default({}),
     fault: z.record(z.string(), faultSchema).default({}),
 }).check(context => {
-    const { burst, repeated } = context.value;
-    for (const [section, entries] of Object.entries({ burst, repeated })) {
+    const { burst, repeated, crashingPart } = context.value;
+    for (const [section, entries] of Object.entries({ burst, repeated, crashingPart })) {
         for (const [name, { kind }] of Object.entries(entries)) {
             if (!(kind in context.value.kind)) {
                 const kinds = Object.keys(context.value.kind).join(", ");
--- a/src/replay/repeatedRequests.ts
+++ b/src/replay/repeatedRequests.ts
@@ -55,6 +55,8 @@
             customer: pattern.pattern.customers === 0 ? undefined : customerName(request.customer),
             promptTokens: kind.promptTokens,
             answerEvents: kind.answerEvents,
+            parts: [],
+            crashes: false,
             value: 0,
             lateValue: 0,
         };
--- a/src/replay/replayArrivals.ts
+++ b/src/replay/replayArrivals.ts
@@ -16,6 +16,10 @@
     customer: string | undefined;
     promptTokens: number;
     answerEvents: number;
+    /** Parts of the prompt that other requests share. */
+    parts: readonly string[];
+    /** Whether the request crashes each engine that begins to write an answer to it. */
+    crashes: boolean;
     /** Value of a response in time, and of a late one. */
     value: number;
     lateValue: number;
@@ -41,6 +45,10 @@
         arrivals.push(...generateArrivals(pattern, name, kind, createReplayRandom(seed * 1_000 + index)));
         arrivals.push(...generateRushArrivals(pattern, name, kind, createReplayRandom(seed * 1_000 + 500 + index)));
     }
+    assignParts(pattern, arrivals, createReplayRandom(seed * 1_000 + 998));
+    for (const [index, [name, part]] of Object.entries(pattern.crashingPart).entries()) {
+        arrivals.push(...generateCrashingArrivals(pattern, name, part, createReplayRandom(seed * 1_000 + 800 + index)));
+    }
     const customerRandom = createReplayRandom(seed * 1_000 + 999);
     for (const arrival of arrivals) {
         arrival.customer ??= pickCustomer(pattern.pattern.customers, customerRandom);
@@ -48,6 +56,37 @@
     return arrivals.sort((left, right) => left.at - right.at);
 };
 
+/** Gives the requests their shared parts; those without the parts of their kind have one of their own. */
+const assignParts = (pattern: Pattern, arrivals: ReplayArrival[], random: Random): void => {
+    for (const arrival of arrivals) {
+        const { parts, partsShare } = pattern.kind[arrival.kind]!;
+        if (parts.length > 0) {
+            arrival.parts = random.next() < partsShare ? parts : [`part-of-${arrival.id}`];
+        }
+    }
+};
+
+/** Generates the requests with a part that crashes engines. */
+const generateCrashingArrivals = (
+    pattern: Pattern,
+    name: string,
+    { kind, at, seconds, rate, parts, apartShare, part, customer }: Pattern["crashingPart"][string],
+    random: Random,
+): ReplayArrival[] => {
+    const ownPattern = { ...pattern, burst: {}, pattern: { ...pattern.pattern, seconds } };
+    return generateArrivals(ownPattern, kind, { ...pattern.kind[kind]!, rate }, random).map(arrival => ({
+        ...arrival,
+        id: `${name}-${arrival.id}`,
+        content: `${name}-${arrival.content}`,
+        at: at * 1_000 + arrival.at,
+        customer: pattern.pattern.customers === 0 ? undefined : customerName(customer),
+        parts: random.next() < apartShare ? [`part-of-${name}-${arrival.id}`, part] : parts,
+        crashes: true,
+        value: 0,
+        lateValue: 0,
+    }));
+};
+
 /**
  * Generates the requests that a customer sends beyond its usual rate. They have their own random numbers, so that all other
  * arrivals are the same with and without the rush.
@@ -126,6 +165,8 @@
                 customer: undefined,
                 promptTokens,
                 answerEvents,
+                parts: [],
+                crashes: false,
                 value: kind.worth * valueFactor,
                 lateValue: kind.worthLate * valueFactor,
             });
--- a/src/replay/replayReport.ts
+++ b/src/replay/replayReport.ts
@@ -58,7 +58,7 @@
 
 /** Creates the report over the results of several seeds. */
 export const createReplayReport = (results: readonly ReplayResult[]): ReplayReport => {
-    const records = results.flatMap(result => result.records);
+    const records = results.flatMap(result => result.records).filter(({ arrival }) => !arrival.crashes);
     const offeredTotal = records.reduce((sum, { arrival }) => sum + arrival.value, 0);
     const earnedTotal = records.reduce((sum, record) => sum + earnedValue(record), 0);
     const datagrams = results.reduce((sum, result) => sum + result.datagrams, 0);
--- a/src/replay/simulatedCaller.ts
+++ b/src/replay/simulatedCaller.ts
@@ -120,6 +120,9 @@
         const { clock, fleet, pickEntry } = this.dependencies;
         this.requestIds.push(id);
         fleet.setEventCount(id, this.arrival.answerEvents);
+        if (this.arrival.crashes) {
+            fleet.markCrashing(id);
+        }
         const body = Buffer.from(this.arrival.content);
         const exchange = new SimulatedExchange(this.createHead(id), body, () => this.recordEvent());
         const { target, targetGap } = this.kind;
@@ -167,6 +170,7 @@
             apiKey: this.arrival.customer,
             callerTimeout: this.remainingTime,
             arrivedAt: this.dependencies.clock.now(),
+            sharedParts: this.arrival.parts,
             lastEventId: this.receivedEventCount > 0 ? String(this.receivedEventCount) : undefined,
             size: {
                 promptTokens: this.arrival.promptTokens,
