Prompt parts that crash endpoints are quarantined; suspect ones are sent as trials

Callers saw 502, cut streams and 503 for as long as requests with one part came: each crashed an endpoint with all that ran there, and no two of them were alike. Cause: entries knew a request by method, host, path, customer and body alone; what requests have in common, the parts of their prompts, was read by nobody. The class: an identity that is finer than the cause, so that evidence never adds up.

Crashes now carry the shared parts of the prompts that were present, over all entries. A part that was present at three crashes and that no endpoint has survived since is suspect: its requests are sent as trials, one at a time for each set of suspect parts, about four over all entries. An endpoint that writes for a second, or completes, clears the prompt's parts of the crashes before. Parts with five crashes, two of them under trials, are quarantined like a request (heartbeats, store, two later trials, lifting), as a set while nothing tells them apart. Crashes that such a set explains no longer speak against whole requests.

--- a/__tests__/forwarding/quarantine.test.ts
+++ b/__tests__/forwarding/quarantine.test.ts
@@ -41,7 +41,7 @@
         this.crashCount++;
         for (const entry of new Set(present.map(([present]) => present))) {
             const requests = present.filter(([other]) => other === entry)
-                .map(([, { value }, servedFor]) => ({ request: value, servedFor, sharedParts: [] }));
+                .map(([, { value }, servedFor]) => ({ request: value, servedFor, suspectParts: new Map() }));
             entry.recordCrash({ endpoint: `e-${this.crashCount}`, incarnation: 1, at: this.clock.now(), requests });
         }
     }
@@ -197,6 +197,7 @@
     incarnation: 1,
     at: 0,
     servedFor: new Map(Object.entries(served)),
+    parts: new Map(),
     heardFrom: undefined,
 });
 
--- a/__tests__/forwarding/quarantineKeeper.test.ts
+++ b/__tests__/forwarding/quarantineKeeper.test.ts
@@ -65,7 +65,7 @@
                 endpoint: `e-${count}`,
                 incarnation: 1,
                 at: this.clock.now(),
-                requests: [{ request: request.value, servedFor: 100, sharedParts: [] }],
+                requests: [{ request: request.value, servedFor: 100, suspectParts: new Map() }],
             });
         }
     }
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -36,6 +36,8 @@
         incarnation: z.number(),
         age: z.number(),
         requests: z.array(z.object({ request: z.string(), servedFor: z.number() })),
+        parts: z.array(z.string()).optional(),
+        trialParts: z.array(z.string()).optional(),
     })),
     completions: z.array(z.object({ request: z.string(), age: z.number() })),
     quarantined: z.array(z.object({
@@ -46,6 +48,7 @@
         waitingFor: z.number(),
         crashes: z.array(z.object({ endpoint: z.string(), incarnation: z.number(), age: z.number().optional() })),
     })),
+    survivedParts: z.array(z.object({ part: z.string(), age: z.number() })).optional(),
 });
 const peerAddressSchema = z.object({ id: z.string(), address: z.string() });
 const statusSchema = z.object({
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -31,6 +31,7 @@
 import { PlacementServer } from "./placement/placementServer.js";
 import { SharedLoadEstimator } from "./placement/sharedLoadEstimator.js";
 import { CrashDetector } from "./quarantine/crashDetector.js";
+import { PartTrials } from "./quarantine/partTrials.js";
 import { Quarantine } from "./quarantine/quarantine.js";
 import { QuarantineKeeper } from "./quarantine/quarantineKeeper.js";
 import { EndedProcesses } from "./reachability/endedProcesses.js";
@@ -230,6 +231,7 @@
             crashDetector,
             quarantine: this.quarantine,
             quarantineStore: dependencies.quarantineStore,
+            partTrials: new PartTrials(random, () => this.peers.livingCount),
             metrics: this.metrics,
             entryId: self.id,
             dataCentre,
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -17,6 +17,7 @@
 import type { PlacementClient } from "../placement/placementClient.js";
 import type { SharedLoadEstimator } from "../placement/sharedLoadEstimator.js";
 import type { CrashDetector } from "../quarantine/crashDetector.js";
+import type { PartTrials } from "../quarantine/partTrials.js";
 import type { Quarantine } from "../quarantine/quarantine.js";
 import type { EndedProcesses } from "../reachability/endedProcesses.js";
 import type { LossReports } from "../reachability/lossReports.js";
@@ -50,6 +51,7 @@
     crashDetector: CrashDetector;
     quarantine: Quarantine;
     quarantineStore: QuarantineStorePort;
+    partTrials: PartTrials;
     metrics: Metrics;
     /** Identifier of this entry. */
     entryId: string;
--- a/src/core/forwarding/quarantineGate.ts
+++ b/src/core/forwarding/quarantineGate.ts
@@ -3,17 +3,30 @@
 import type { Milliseconds } from "../../utils/clock.js";
 import { describeError } from "../../utils/errors.js";
 import { FailureKind } from "../failures.js";
+import type { PartPresence } from "../quarantine/crashLog.js";
+import { partsOfKey } from "../quarantine/partSet.js";
+import { survivalDuration } from "../quarantine/partSurvivals.js";
+import type { TrialEnd } from "../quarantine/partTrials.js";
 import { describeCrashes, type QuarantinedRequest } from "../quarantine/quarantinedRequest.js";
 import type { RequestProgress } from "./requestProgress.js";
 
 /** Longest delay of a further send, until it is known whether an endpoint that broke the request off has crashed. */
 const crashCheckTimeout: Milliseconds = 50;
 
+/** Retry-After of a prompt with suspect parts: about the time until it is known which of them crash endpoints. */
+const suspectRetrySeconds = 1;
+
 /** The quarantine as one request meets it. */
 export class QuarantineGate {
     private servingSince: Milliseconds = 0;
     /** Whether the request is quarantined and sent to find out whether it still crashes endpoints. */
     private isTrial = false;
+    /** Suspect parts of the prompt that are on trial with the request. */
+    private partsOnTrial: readonly string[] = [];
+    private endPartTrial: TrialEnd = () => {};
+    /** When the endpoint began to write the answer; undefined before. */
+    private writingSince: Milliseconds | undefined;
+    private hasSurvived = false;
 
     constructor(private readonly progress: RequestProgress) {}
 
@@ -28,15 +41,38 @@
             this.progress.throwIfEnded();
             wait = quarantine.timeUntilKnown(fingerprint);
         }
-        const quarantined = quarantine.find(fingerprint);
-        if (quarantined && !await this.mayTry(quarantined)) {
-            this.reject(quarantined);
+        const quarantined = quarantine.find(fingerprint, this.progress.request.sharedParts);
+        if (quarantined) {
+            if (!await this.mayTry(quarantined)) {
+                this.reject(quarantined);
+            }
+            return;
         }
+        this.startPartTrial();
+    }
+
+    /** Records that the request is sent. */
+    recordSent(): void {
+        this.servingSince = this.progress.dependencies.clock.now();
+        this.writingSince = undefined;
     }
 
-    /** Records that the request is sent, and later that the head of its response has arrived. */
-    recordServing(): void {
+    /** Records that the head of the response has arrived, so that the endpoint writes the answer. */
+    recordWriting(): void {
         this.servingSince = this.progress.dependencies.clock.now();
+        this.writingSince = this.servingSince;
+    }
+
+    /** Records that the endpoint goes on writing the answer. */
+    recordEvent(): void {
+        if (this.writingFor >= survivalDuration && !this.hasSurvived) {
+            this.recordSurvived();
+        }
+    }
+
+    /** Must be called when the request has ended. */
+    end(): void {
+        this.endPartTrial();
     }
 
     /** Records that `endpoint` broke off its response to the request. */
@@ -46,13 +82,63 @@
         crashDetector.recordBroken(endpoint, {
             request: this.progress.fingerprint.value,
             servedFor,
-            sharedParts: this.progress.request.sharedParts,
+            suspectParts: this.partsAtCrash(),
         });
     }
 
     /** Records that an endpoint has served the request to its end. */
     recordCompletion(): void {
         this.progress.dependencies.quarantine.recordCompletion(this.progress.fingerprint);
+        if (!this.hasSurvived) {
+            this.recordSurvived();
+        }
+    }
+
+    private get writingFor(): Milliseconds {
+        return this.writingSince === undefined ? 0 : this.progress.dependencies.clock.now() - this.writingSince;
+    }
+
+    private recordSurvived(): void {
+        const { request, dependencies: { quarantine } } = this.progress;
+        this.hasSurvived = true;
+        this.endPartTrial();
+        if (request.sharedParts.length > 0) {
+            quarantine.recordSurvived(request.sharedParts, this.writingSince ?? this.servingSince);
+        }
+    }
+
+    /** Parts by which the endpoint may have crashed. A prompt that it has survived before has none. */
+    private partsAtCrash(): Map<string, PartPresence> {
+        const parts = this.writingFor >= survivalDuration ? [] : this.progress.request.sharedParts;
+        return new Map(parts.map(part => [part, { isTrial: this.partsOnTrial.includes(part) }]));
+    }
+
+    /** Starts a trial if the prompt has suspect parts. Throws a `RequestFailure` if there are enough others. */
+    private startPartTrial(): void {
+        const { quarantine, partTrials } = this.progress.dependencies;
+        if (this.partsOnTrial.length > 0 && !this.progress.attempts.mayHaveRun) {
+            return;
+        }
+        const suspects = quarantine.suspectParts(this.progress.request.sharedParts);
+        if (suspects.length === 0) {
+            return;
+        }
+        const endTrial = this.progress.attempts.mayHaveRun ? undefined : partTrials.tryStart(suspects);
+        if (endTrial === undefined) {
+            this.rejectSuspect(suspects);
+        }
+        this.partsOnTrial = suspects;
+        this.endPartTrial = endTrial;
+        this.progress.log("A prompt with suspect parts is tried.", undefined, { parts: suspects });
+    }
+
+    private rejectSuspect(suspects: readonly string[]): never {
+        this.progress.dependencies.metrics.count("suspect_rejections_total");
+        throw this.progress.createFailure(
+            FailureKind.Quarantined,
+            `endpoints crashed under prompts with the parts ${suspects.join(", ")}, and others are being tried`,
+            suspectRetrySeconds,
+        );
     }
 
     /** Whether the request is sent for a trial. One entry wins it, and sends the request to one endpoint. */
@@ -76,6 +162,7 @@
         }
         if (this.isTrial) {
             quarantine.recordTrial(quarantined);
+            this.partsOnTrial = partsOfKey(quarantined.request) ?? [];
         }
         return this.isTrial;
     }
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -81,6 +81,7 @@
         }
         finally {
             stopTimer();
+            this.quarantineGate.end();
             end();
         }
     }
@@ -234,13 +235,13 @@
         events: AsyncIterable<StreamEvent>,
     ): Promise<boolean> {
         this.progress.attempts.mayHaveRun = true;
-        this.quarantineGate.recordServing();
+        this.quarantineGate.recordWriting();
         try {
-            await this.progress.relay.relayEvents(
-                head,
-                events,
-                () => this.dependencies.loadEstimator.recordWriting(endpoint.record.id, this.progress.request.id),
-            );
+            await this.progress.relay.relayEvents(head, events, {
+                onFirst: () =>
+                    this.dependencies.loadEstimator.recordWriting(endpoint.record.id, this.progress.request.id),
+                onEvent: () => this.quarantineGate.recordEvent(),
+            });
         }
         catch (error) {
             this.progress.throwIfEnded();
@@ -279,7 +280,7 @@
         this.progress.relay.predictedFirstEvent = this.dependencies.clock.now() - this.progress.request.arrivedAt
             + firstEvent;
         this.progress.attempts.recordStarted();
-        this.quarantineGate.recordServing();
+        this.quarantineGate.recordSent();
         this.dependencies.metrics.count(
             this.progress.attempts.startedCount > 1 ? "repeats_total" : "first_sends_total",
         );
--- a/src/core/forwarding/streamRelay.ts
+++ b/src/core/forwarding/streamRelay.ts
@@ -4,6 +4,12 @@
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { Metrics } from "../metrics.js";
 
+/** Called while the events of one endpoint are relayed. */
+export interface EventListeners {
+    onFirst: () => void;
+    onEvent: () => void;
+}
+
 /** The stream of one request. */
 export class StreamRelay {
     /** Whether the response head was sent to the caller. */
@@ -35,14 +41,19 @@
         return this.clock.now() - this.exchange.head.arrivedAt - (this.lastEventAt ?? 0);
     }
 
-    /** Relays all events of one endpoint and calls `onFirst` with the first. Throws when the stream breaks off. */
-    async relayEvents(head: ResponseHead, events: AsyncIterable<StreamEvent>, onFirst: () => void): Promise<void> {
+    /** Relays all events of one endpoint. Throws when the stream breaks off. */
+    async relayEvents(
+        head: ResponseHead,
+        events: AsyncIterable<StreamEvent>,
+        { onFirst, onEvent }: EventListeners,
+    ): Promise<void> {
         let hasFirstEvent = false;
         for await (const event of events) {
             if (!hasFirstEvent) {
                 hasFirstEvent = true;
                 onFirst();
             }
+            onEvent();
             this.checkOrder(event);
             this.recordTime();
             this.start(head);
--- a/src/core/quarantine/crashDetector.ts
+++ b/src/core/quarantine/crashDetector.ts
@@ -9,6 +9,7 @@
 import type { PartLog } from "../../utils/log.js";
 import type { Metrics } from "../metrics.js";
 import { type EndpointChecker, EndpointCondition } from "../reachability/endpointChecker.js";
+import type { PartPresence } from "./crashLog.js";
 import { headOfFingerprint, type RequestFingerprint } from "./requestFingerprint.js";
 
 /** Minimum interval between two checks of an endpoint that accepted the first: each takes one of its connections. */
@@ -22,8 +23,8 @@
     request: string;
     /** How long the endpoint had been serving it. */
     servedFor: Milliseconds;
-    /** Parts of its prompt that other requests may share. */
-    sharedParts: readonly string[];
+    /** Shared parts of its prompt by which the endpoint may have crashed. */
+    suspectParts: ReadonlyMap<string, PartPresence>;
 }
 
 /** An endpoint process that crashed, with the requests that it was serving for this entry. */
@@ -143,7 +144,7 @@
             endpoint: id,
             incarnation,
             requests: requests.map(({ request }) => request),
-            parts: [...new Set(requests.flatMap(({ sharedParts }) => sharedParts))],
+            parts: [...new Set(requests.flatMap(({ suspectParts }) => [...suspectParts.keys()]))],
             reason,
         });
         this.onCrash({ endpoint: id, incarnation, at: firstAt, requests });
--- a/src/core/quarantine/crashLog.ts
+++ b/src/core/quarantine/crashLog.ts
@@ -16,6 +16,15 @@
 const maximumSharedCount = 16;
 const maximumSharedRequestCount = 16;
 
+/** Most prompt parts of one crash that are kept and reported, those of the requests served shortest. */
+const maximumPartCount = 16;
+
+/** How a prompt part was present at a crash. */
+export interface PartPresence {
+    /** Whether it was sent to find out whether it crashes endpoints. */
+    isTrial: boolean;
+}
+
 /** The crash of one endpoint process. */
 export interface Crash {
     endpoint: string;
@@ -24,6 +33,8 @@
     at: Milliseconds;
     /** How long the endpoint had been serving each request, by fingerprint. */
     servedFor: ReadonlyMap<string, Milliseconds>;
+    /** The shared parts of the prompts that were present and may have caused the crash. */
+    parts: ReadonlyMap<string, PartPresence>;
     /** The entry that reported the crash; undefined where this entry detected it. */
     heardFrom: string | undefined;
 }
@@ -38,14 +49,34 @@
         [...this.crashByKey.values()].flatMap(({ servedFor }) => [...servedFor.keys()])
     );
 
+    private crashesByPart: Map<string, Crash[]> | undefined;
+
     constructor(private readonly clock: Clock) {}
 
+    get isEmpty(): boolean {
+        return this.crashByKey.size === 0;
+    }
+
+    /** Parts of prompts that were present at crashes. */
+    get parts(): Iterable<string> {
+        return this.partIndex.keys();
+    }
+
+    /** The crashes at which a prompt with `part` was present. */
+    crashesWithPart(part: string): readonly Crash[] {
+        return this.partIndex.get(part) ?? [];
+    }
+
     /** All crashes that have not expired. */
     all(): Crash[] {
         this.removeExpired();
         return [...this.crashByKey.values()];
     }
 
+    get(crash: Pick<Crash, "endpoint" | "incarnation">): Crash | undefined {
+        return this.crashByKey.get(keyOf(crash));
+    }
+
     /** The crashes at which `request` was present. */
     crashesOf(request: string): Crash[] {
         return this.all().filter(({ servedFor }) => servedFor.has(request));
@@ -67,15 +98,28 @@
         const key = keyOf(crash);
         const known = this.crashByKey.get(key);
         const servedFor = new Map([...crash.servedFor, ...known?.servedFor ?? []]);
-        if (servedFor.size === known?.servedFor.size) {
+        const parts = mergeParts(known?.parts, crash.parts);
+        const hasNewPart = known !== undefined
+            && [...parts].some(([part, { isTrial }]) => isTrial !== known.parts.get(part)?.isTrial);
+        if (servedFor.size === known?.servedFor.size && !hasNewPart) {
             return false;
         }
-        this.crashByKey.set(key, { ...crash, ...known, servedFor });
-        this.heads.invalidate();
+        this.crashByKey.set(key, { ...crash, ...known, servedFor, parts });
+        this.invalidate();
         this.removeExpired();
         return true;
     }
 
+    private invalidate(): void {
+        this.heads.invalidate();
+        this.crashesByPart = undefined;
+    }
+
+    private get partIndex(): Map<string, Crash[]> {
+        this.crashesByPart ??= indexByPart(this.crashByKey.values());
+        return this.crashesByPart;
+    }
+
     /** Returns the newest crashes in the form of a heartbeat. */
     recentReports(): CrashReport[] {
         const now = this.clock.now();
@@ -97,7 +141,7 @@
 
     private delete(key: string): void {
         this.crashByKey.delete(key);
-        this.heads.invalidate();
+        this.invalidate();
     }
 }
 
@@ -106,8 +150,47 @@
     requests: readonly Pick<CrashedRequest, "request" | "servedFor">[],
 ): Map<string, Milliseconds> => new Map(requests.map(({ request, servedFor }) => [request, servedFor]));
 
+/** Collects the parts of the requests that an endpoint may have crashed by. */
+export const collectParts = (requests: readonly CrashedRequest[]): Map<string, PartPresence> => {
+    let parts: ReadonlyMap<string, PartPresence> = new Map();
+    for (const { suspectParts } of [...requests].sort((left, right) => left.servedFor - right.servedFor)) {
+        parts = mergeParts(parts, suspectParts);
+    }
+    return new Map(parts);
+};
+
+const mergeParts = (
+    known: ReadonlyMap<string, PartPresence> | undefined,
+    others: ReadonlyMap<string, PartPresence>,
+): Map<string, PartPresence> => {
+    const merged = new Map(known);
+    for (const [part, { isTrial }] of others) {
+        const present = merged.get(part);
+        if (present !== undefined || merged.size < maximumPartCount) {
+            merged.set(part, { isTrial: isTrial || present?.isTrial === true });
+        }
+    }
+    return merged;
+};
+
+const indexByPart = (crashes: Iterable<Crash>): Map<string, Crash[]> => {
+    const index = new Map<string, Crash[]>();
+    for (const crash of crashes) {
+        for (const part of crash.parts.keys()) {
+            const known = index.get(part);
+            if (known) {
+                known.push(crash);
+            }
+            else {
+                index.set(part, [crash]);
+            }
+        }
+    }
+    return index;
+};
+
 /** The requests served shortest come first, because they are the likely causes. */
-const toReport = ({ endpoint, incarnation, at, servedFor }: Crash, now: Milliseconds): CrashReport => ({
+const toReport = ({ endpoint, incarnation, at, servedFor, parts }: Crash, now: Milliseconds): CrashReport => ({
     endpoint,
     incarnation,
     age: Math.round(now - at),
@@ -116,4 +199,10 @@
             request,
             servedFor: Math.round(duration),
         })),
+    parts: [...parts.keys()],
+    trialParts: [...parts].filter(([, { isTrial }]) => isTrial).map(([part]) => part),
 });
+
+/** Converts the parts that another entry reported. */
+export const partsOfReport = ({ parts = [], trialParts = [] }: CrashReport): Map<string, PartPresence> =>
+    new Map(parts.map(part => [part, { isTrial: trialParts.includes(part) }]));
--- /dev/null
+++ b/src/core/quarantine/partSurvivals.ts
@@ -0,0 +1,51 @@
+/**
+ * Keeps since when each prompt part is known to be harmless: when an endpoint began to write an answer on a prompt with it, and
+ * lived on.
+ */
+import type { PartReport } from "../../ports/peerChannelPort.js";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
+
+/** An endpoint that writes for this long has not crashed by the prompt. */
+export const survivalDuration: Milliseconds = 1_000;
+/** Parts that are remembered, some 0.4 MB. The one that has not come for longest yields. */
+const maximumCount = 4_096;
+/** Most parts in one heartbeat, some 1.3 kB. */
+const maximumSharedCount = 32;
+
+/** When endpoints last began to write on prompts with each part and survived, on the local clock. */
+export class PartSurvivals {
+    private readonly survivedAtByPart = new Map<string, Milliseconds>();
+
+    constructor(private readonly clock: Clock) {}
+
+    /** When an endpoint last survived the part; undefined where that is not known. */
+    at(part: string): Milliseconds | undefined {
+        return this.survivedAtByPart.get(part);
+    }
+
+    /** Records that an endpoint began at `at` to write on a prompt with the part, and survived. Returns whether that is news. */
+    add(part: string, at: Milliseconds): boolean {
+        if (at <= (this.survivedAtByPart.get(part) ?? -Infinity)) {
+            return false;
+        }
+        this.survivedAtByPart.delete(part);
+        this.survivedAtByPart.set(part, at);
+        if (this.survivedAtByPart.size > maximumCount) {
+            this.survivedAtByPart.delete(this.survivedAtByPart.keys().next().value!);
+        }
+        return true;
+    }
+
+    /** Returns what is known of `parts` in the form of a heartbeat, the newest first. */
+    reports(parts: Iterable<string>): PartReport[] {
+        const now = this.clock.now();
+        const reports: PartReport[] = [];
+        for (const part of parts) {
+            const at = this.at(part);
+            if (at !== undefined) {
+                reports.push({ part, age: Math.round(now - at) });
+            }
+        }
+        return reports.sort((left, right) => left.age - right.age).slice(0, maximumSharedCount);
+    }
+}
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -12,8 +12,10 @@
 import type { PartLog } from "../../utils/log.js";
 import { Completions } from "./completions.js";
 import type { DetectedCrash } from "./crashDetector.js";
-import { type Crash, CrashLog, mapServedFor } from "./crashLog.js";
+import { collectParts, type Crash, CrashLog, mapServedFor, partsOfReport } from "./crashLog.js";
 import { crashesUntilQuarantine, findCulprits } from "./culprits.js";
+import { PartQuarantine } from "./partQuarantine.js";
+import { keyOfParts, partsOfKey } from "./partSet.js";
 import {
     describeCrashes,
     endOfRejection,
@@ -42,12 +44,14 @@
     private readonly crashLog: CrashLog;
     private readonly completions: Completions;
     private readonly quarantined: QuarantinedRequests;
+    private readonly parts: PartQuarantine;
     private isDecisionDue = false;
 
     constructor(private readonly clock: Clock, private readonly log: PartLog) {
         this.crashLog = new CrashLog(clock);
         this.completions = new Completions(clock);
         this.quarantined = new QuarantinedRequests(clock);
+        this.parts = new PartQuarantine(clock, this.crashLog, this.quarantined);
     }
 
     /** Number of quarantined requests. */
@@ -60,18 +64,33 @@
         return this.crashLog.all().length;
     }
 
-    /** Returns the quarantine of a request that has come; undefined where there is none. */
-    find(fingerprint: RequestFingerprint): QuarantinedRequest | undefined {
+    /**
+     * Returns the quarantine of a request that has come, by its content or by the shared parts of its prompt; undefined where
+     * there is none.
+     */
+    find(fingerprint: RequestFingerprint, sharedParts: readonly string[] = []): QuarantinedRequest | undefined {
         if (this.suspectCrashes(fingerprint).length >= crashesUntilQuarantine) {
             this.quarantineCulprits();
         }
-        const found = this.quarantined.find(fingerprint);
+        const found = this.quarantined.find(fingerprint) ?? this.parts.find(sharedParts);
         if (found) {
             found.lastSeenAt = this.clock.now();
         }
         return found;
     }
 
+    /** Returns those of a prompt's shared parts that an endpoint may crash by, without being quarantined together. */
+    suspectParts(sharedParts: readonly string[]): string[] {
+        return this.parts.suspects(sharedParts);
+    }
+
+    /** Records that an endpoint began at `at` to write on a prompt with these parts, and survived. */
+    recordSurvived(sharedParts: readonly string[], at: Milliseconds): void {
+        if (this.parts.recordSurvived(sharedParts, at)) {
+            this.onChange();
+        }
+    }
+
     /** Seconds until a quarantined request may be sent again. */
     retryDelaySeconds(quarantined: QuarantinedRequest): number {
         const delay = endOfRejection(quarantined) - this.clock.now();
@@ -101,7 +120,9 @@
 
     /** Records a crash that this entry detected. */
     recordCrash({ endpoint, incarnation, at, requests }: DetectedCrash): void {
-        if (this.crashLog.add({ endpoint, incarnation, at, servedFor: mapServedFor(requests), heardFrom: undefined })) {
+        const servedFor = mapServedFor(requests);
+        const parts = collectParts(requests);
+        if (this.crashLog.add({ endpoint, incarnation, at, servedFor, parts, heardFrom: undefined })) {
             this.decideLater();
             this.onChange();
         }
@@ -139,7 +160,7 @@
         const now = this.clock.now();
         const known = this.quarantined.get(stored.request);
         if (!known && this.completions.at(stored.request) === undefined) {
-            this.add(fromStored(stored, now));
+            this.addHeard(fromStored(stored, now));
             this.onChange();
         }
         if (known && stored.trialCount > known.trialCount) {
@@ -159,19 +180,24 @@
         const crashes = this.crashLog.recentReports();
         const completions = this.completions.reports();
         const quarantined = this.quarantined.nextReports();
-        const isEmpty = crashes.length + completions.length + quarantined.length === 0;
-        return isEmpty ? undefined : { crashes, completions, quarantined };
+        const survivedParts = this.parts.reports();
+        const isEmpty = crashes.length + completions.length + quarantined.length + survivedParts.length === 0;
+        return isEmpty ? undefined : { crashes, completions, quarantined, survivedParts };
     }
 
     /** Merges what the entry `from` knows. */
-    merge(from: string, { crashes, completions, quarantined }: CrashNews): void {
+    merge(from: string, { crashes, completions, quarantined, survivedParts = [] }: CrashNews): void {
         const now = this.clock.now();
+        this.parts.merge(survivedParts);
         for (const { request, age } of completions) {
             this.clear(request, now - age);
         }
         let hasNewCrash = false;
-        for (const { endpoint, incarnation, age, requests } of crashes) {
-            const crash = { endpoint, incarnation, at: now - age, servedFor: mapServedFor(requests), heardFrom: from };
+        for (const report of crashes) {
+            const { endpoint, incarnation, age, requests } = report;
+            const servedFor = mapServedFor(requests);
+            const parts = partsOfReport(report);
+            const crash = { endpoint, incarnation, at: now - age, servedFor, parts, heardFrom: from };
             hasNewCrash = this.crashLog.add(crash) || hasNewCrash;
         }
         for (const report of quarantined) {
@@ -194,7 +220,40 @@
         }
         const isCleared = (this.completions.at(heard.request) ?? -Infinity) >= heard.since;
         if (!isCleared && this.clock.now() - heard.lastSeenAt < quarantineLifetime) {
-            this.add(heard);
+            this.addHeard(heard);
+        }
+    }
+
+    /** Adds a quarantine that another entry or the store told, as far as what this entry knows doesn't contradict it. */
+    private addHeard(heard: QuarantinedRequest): void {
+        if (partsOfKey(heard.request) === undefined) {
+            if (!this.isExplainedByParts(heard)) {
+                this.add(heard);
+            }
+            return;
+        }
+        const reduced = this.parts.reduce(heard);
+        if (reduced && !this.quarantined.get(reduced.request)) {
+            this.add(reduced);
+            this.removeExplainedByParts();
+        }
+    }
+
+    /** Whether quarantined parts were present at all crashes that speak against the request. */
+    private isExplainedByParts({ crashes }: QuarantinedRequest): boolean {
+        const known = crashes.map(crash => this.crashLog.get(crash));
+        return known.length > 0 && known.every(crash => crash !== undefined && this.parts.explains(crash));
+    }
+
+    /** Ends the quarantines of requests that were merely present when others crashed endpoints by their parts. */
+    private removeExplainedByParts(): void {
+        for (const quarantined of this.quarantined.all()) {
+            if (partsOfKey(quarantined.request) === undefined && this.isExplainedByParts(quarantined)) {
+                this.quarantined.remove(quarantined.request);
+                this.log.info("A request is no longer quarantined: parts of other prompts explain its crashes.", {
+                    content: quarantined.request,
+                });
+            }
         }
     }
 
@@ -219,9 +278,15 @@
 
     private quarantineCulprits(): void {
         const now = this.clock.now();
+        for (const { parts, crashes } of this.parts.findCauses()) {
+            const request = keyOfParts(parts);
+            this.add({ request, since: now, lastSeenAt: now, crashes, trialCount: 0, waitsSince: now });
+            this.removeExplainedByParts();
+        }
         const known = new Set(this.quarantined.all().map(({ request }) => request));
         const isCleared = (request: string, crash: Crash) => this.isCleared(request, crash);
-        const reportedCrashes = this.crashLog.all().filter(crash => this.isReported(crash));
+        const reportedCrashes = this.crashLog.all()
+            .filter(crash => this.isReported(crash) && !this.parts.explains(crash));
         for (const request of findCulprits(reportedCrashes, known, isCleared)) {
             const crashes = this.crashLog.crashesOf(request).filter(crash => !isCleared(request, crash));
             this.add({ request, since: now, lastSeenAt: now, crashes, trialCount: 0, waitsSince: now });
--- a/src/core/quarantine/quarantinedRequests.ts
+++ b/src/core/quarantine/quarantinedRequests.ts
@@ -2,6 +2,7 @@
 import type { QuarantineReport } from "../../ports/peerChannelPort.js";
 import type { Clock } from "../../utils/clock.js";
 import { HeadIndex } from "./headIndex.js";
+import { partsOfKey } from "./partSet.js";
 import { type QuarantinedRequest, quarantineLifetime, toReport } from "./quarantinedRequest.js";
 import type { RequestFingerprint } from "./requestFingerprint.js";
 
@@ -10,12 +11,19 @@
 /** Quarantined requests in one heartbeat, some 5 kB. Each heartbeat takes the next ones. */
 const maximumSharedCount = 16;
 
-/** Quarantined requests by fingerprint. */
+/** A set of prompt parts whose requests are quarantined. */
+export interface QuarantinedParts {
+    parts: string[];
+    quarantined: QuarantinedRequest;
+}
+
+/** Quarantined requests by fingerprint, and sets of prompt parts by their key. */
 export class QuarantinedRequests {
     private readonly byFingerprint = new Map<string, QuarantinedRequest>();
     private readonly heads = new HeadIndex(() => this.byFingerprint.keys());
     /** Position in the list of the next one to share. */
     private shareCursor = 0;
+    private knownPartSets: QuarantinedParts[] | undefined;
 
     constructor(private readonly clock: Clock) {}
 
@@ -30,6 +38,15 @@
         return [...this.byFingerprint.values()];
     }
 
+    /** The quarantined sets of prompt parts. */
+    get partSets(): readonly QuarantinedParts[] {
+        this.knownPartSets ??= this.all().flatMap(quarantined => {
+            const parts = partsOfKey(quarantined.request);
+            return parts ? [{ parts, quarantined }] : [];
+        });
+        return this.knownPartSets;
+    }
+
     get(request: string): QuarantinedRequest | undefined {
         return this.byFingerprint.get(request);
     }
@@ -46,7 +63,7 @@
     /** Adds a quarantine. The oldest one yields where there are too many. */
     add(quarantined: QuarantinedRequest): void {
         this.byFingerprint.set(quarantined.request, quarantined);
-        this.heads.invalidate();
+        this.invalidate();
         if (this.byFingerprint.size > maximumCount) {
             this.remove(this.byFingerprint.keys().next().value!);
         }
@@ -54,7 +71,12 @@
 
     remove(request: string): void {
         this.byFingerprint.delete(request);
+        this.invalidate();
+    }
+
+    private invalidate(): void {
         this.heads.invalidate();
+        this.knownPartSets = undefined;
     }
 
     /** Returns the next part of the list in the form of a heartbeat. */
--- a/src/ports/peerChannelPort.ts
+++ b/src/ports/peerChannelPort.ts
@@ -65,6 +65,15 @@
     age: Milliseconds;
     /** Fingerprints, and how long the endpoint had been serving each request. */
     requests: { request: string; servedFor: Milliseconds; }[];
+    /** Shared parts of the prompts that were present, and those of them that were on trial. Missing from earlier versions. */
+    parts?: string[];
+    trialParts?: string[];
+}
+
+/** A prompt part that an endpoint survived, and the time since that endpoint began to write. */
+export interface PartReport {
+    part: string;
+    age: Milliseconds;
 }
 
 /** A request that no entry sends, because it crashes endpoints. */
@@ -94,6 +103,8 @@
     crashes: CrashReport[];
     completions: CompletionReport[];
     quarantined: QuarantineReport[];
+    /** Parts that were present at crashes and that endpoints survived. Missing from earlier versions. */
+    survivedParts?: PartReport[];
 }
 
 /** Changes of a kind of stored objects, for an entry that has all earlier ones. */
