A part is known in time where few requests with it come

When no endpoint has crashed by the suspects for a second, each entry may try them; and one crash under a trial is enough once sound requests had the time to survive (1.2 s) and none with the part did.

--- a/src/core/forwarding/quarantineGate.ts
+++ b/src/core/forwarding/quarantineGate.ts
@@ -123,7 +123,9 @@
         if (suspects.length === 0) {
             return;
         }
-        const endTrial = this.progress.attempts.mayHaveRun ? undefined : partTrials.tryStart(suspects);
+        const endTrial = this.progress.attempts.mayHaveRun
+            ? undefined
+            : partTrials.tryStart(suspects, quarantine.timeSinceCrash(suspects));
         if (endTrial === undefined) {
             this.rejectSuspect(suspects);
         }
--- a/src/core/quarantine/partQuarantine.ts
+++ b/src/core/quarantine/partQuarantine.ts
@@ -54,6 +54,12 @@
         return parts.filter(part => sets.some(set => set.includes(part)) || this.isSuspect(part, sets));
     }
 
+    /** When the last crash happened at which one of `parts` was present, on the local clock. */
+    lastCrashAt(parts: readonly string[]): Milliseconds {
+        const crashes = parts.flatMap(part => this.crashLog.crashesWithPart(part));
+        return Math.max(-Infinity, ...crashes.map(({ at }) => at));
+    }
+
     /** Records that an endpoint began at `at` to write on a prompt with `parts`, and survived. Returns whether others need it. */
     recordSurvived(parts: readonly string[], at: Milliseconds): boolean {
         let isNews = false;
@@ -81,7 +87,10 @@
     /** Returns the sets of parts that are found to crash endpoints, each with the crashes that decided it. */
     findCauses(): { parts: string[]; crashes: Crash[]; }[] {
         const crashes = this.crashLog.all();
-        const causes = findCrashingParts(crashes, this.sets, (part, crash) => this.isCleared(part, crash));
+        const causes = findCrashingParts(crashes, this.sets, {
+            isCleared: (part, crash) => this.isCleared(part, crash),
+            isSettled: crash => this.isSettled(crash),
+        });
         return causes.map(parts => ({ parts, crashes: crashes.filter(crash => includesAll(crash.parts, parts)) }));
     }
 
@@ -102,14 +111,18 @@
     }
 
     private isSuspect(part: string, sets: readonly string[][]): boolean {
-        const now = this.clock.now();
         const crashes = this.crashLog.crashesWithPart(part)
             .filter(crash => !this.isCleared(part, crash) && !isExplained(crash, sets));
         const survivedAt = this.survivals.at(part) ?? -Infinity;
-        if (now - survivedAt > provenDuration) {
+        if (this.clock.now() - survivedAt > provenDuration) {
             return crashes.length >= crashesUntilSuspect;
         }
-        return crashes.filter(({ at }) => now - at >= settlingDuration).length >= crashesUntilProvenSuspect;
+        return crashes.filter(crash => this.isSettled(crash)).length >= crashesUntilProvenSuspect;
+    }
+
+    /** Whether a sound request could have survived since the crash. */
+    isSettled({ at }: Crash): boolean {
+        return this.clock.now() - at >= settlingDuration;
     }
 
     private isCleared(part: string, { at }: Crash): boolean {
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -84,6 +84,11 @@
         return this.parts.suspects(sharedParts);
     }
 
+    /** Time since the last crash at which one of these parts was present. */
+    timeSinceCrash(parts: readonly string[]): Milliseconds {
+        return this.clock.now() - this.parts.lastCrashAt(parts);
+    }
+
     /** Records that an endpoint began at `at` to write on a prompt with these parts, and survived. */
     recordSurvived(sharedParts: readonly string[], at: Milliseconds): void {
         if (this.parts.recordSurvived(sharedParts, at)) {
@@ -266,7 +271,7 @@
         this.clock.after(reportingDuration, () => {
             this.isDecisionDue = false;
             this.quarantineCulprits();
-            if (this.crashLog.all().some(crash => !this.isReported(crash))) {
+            if (this.crashLog.all().some(crash => !this.isReported(crash) || !this.parts.isSettled(crash))) {
                 this.decideLater();
             }
         });
