An entry that starts, or hears of no other one, learns from the store what is quarantined

An entry that hears of nobody counted anew, too.

An entry reads the quarantined requests once when it starts, unless the whole site starts for the first time, and its first requests wait for that, half a second at most. While endpoints crash and it hears of no other entry, it reads them every two seconds. One call a start.

--- a/__tests__/forwarding/crashDetection.test.ts
+++ b/__tests__/forwarding/crashDetection.test.ts
@@ -243,6 +243,24 @@
     expect(poisonArrivals(replicas)).toBe(3);
 });
 
+test("entry that starts again sends no quarantined request before it knows of it", async () => {
+    // Guards against entries that have all lost power, and crash endpoints by what had been quarantined.
+    const replicas = await startReplicas(6);
+    for (const replica of replicas) {
+        onPoison(replica, () => replica.crash());
+    }
+    site.configure(1);
+    const first = await site.start("entry-1", true, { firstStart: true });
+    await callPoison(first.callers);
+    await callPoison(first.callers);
+    await callPoison(first.callers);
+    await until(() => site.store.model.list("quarantined", "", 10).objects.length === 1);
+    await first.entry.close();
+    const second = await site.start("entry-2", true, { delay: 50 });
+    expect((await callPoison(second.callers)).status).toBe(503);
+    expect(poisonArrivals(replicas)).toBe(3);
+});
+
 test("trial of a quarantined request is won by one entry", async () => {
     site.configure(1);
     const { door } = await site.start("entry-1");
--- a/__tests__/forwarding/quarantineKeeper.test.ts
+++ b/__tests__/forwarding/quarantineKeeper.test.ts
@@ -48,12 +48,14 @@
     readonly store = new UnreliableStore();
 
     /** Starts an entry; `isKeeper` says whether it is the one that keeps the store. */
-    start(isKeeper = () => true): Quarantine {
+    start(isKeeper = () => true, readsAtStart = false, isIsolated = () => false): Quarantine {
         const quarantine = new Quarantine(this.clock, silentLog);
         const membership = { isAmongFirst: isKeeper } as unknown as Membership;
         const { clock, store } = this;
         const isStoreReachable = () => !store.isKnownAway;
-        const dependencies = { clock, log: silentLog, store, quarantine, membership, isStoreReachable };
+        const log = silentLog;
+        const roles = { readsAtStart, isIsolated };
+        const dependencies = { clock, log, store, quarantine, membership, isStoreReachable, ...roles };
         const keeper = new QuarantineKeeper(dependencies);
         void keeper.run(new AbortController().signal);
         return quarantine;
@@ -219,3 +221,30 @@
     }
     expect(trialCount).toBe(2);
 });
+
+test("entry that starts again knows the quarantine before its first request", async () => {
+    // Guards against a request that crashes endpoints in the second after all entries have lost power.
+    const scene = new Scene();
+    scene.crashThrice(scene.start());
+    await scene.pass(2_000);
+    const successor = scene.start(() => false, true);
+    await scene.pass(10);
+    expect(successor.find(poison)?.crashes).toHaveLength(3);
+    expect(scene.store.callCount).toBe(3);
+});
+
+test("entry that hears of no other one learns from the store", async () => {
+    // Guards against an entry behind a cut that counts the crashes anew.
+    const scene = new Scene();
+    scene.crashThrice(scene.start());
+    let isIsolated = false;
+    const isolated = scene.start(() => false, false, () => isIsolated);
+    await scene.pass(3_000);
+    const callCount = scene.store.callCount;
+    isIsolated = true;
+    await scene.pass(3_000);
+    expect(scene.store.callCount).toBe(callCount);
+    isolated.recordCrash({ endpoint: "e-9", incarnation: 1, at: scene.clock.now(), requests: [] });
+    await scene.pass(1_000);
+    expect(isolated.find(poison)).toBeDefined();
+});
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -123,6 +123,7 @@
             coldLimits: () => this.settings.cold,
             knownRevisions: () => this.knownRevisions(),
             readAges: () => this.readAges(),
+            isFirstStart: settings.peers.firstStart,
             isStoreReachable: () => Object.values(this.followers).every(({ isStoreReachable }) => isStoreReachable),
             plannedStop: () => this.plannedStop,
             announcePause: ({ address }, { id, incarnation }, duration) => {
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -64,6 +64,8 @@
     knownRevisions: () => KnownRevisions;
     /** How long ago the store last responded to this entry. */
     readAges: () => ReadAges;
+    /** Whether the whole site starts for the first time, so that nothing was known before. */
+    isFirstStart: boolean;
     /** Whether the store responds to this entry. */
     isStoreReachable: () => boolean;
     /** The planned stop; undefined while this entry isn't stopping. */
@@ -201,6 +203,8 @@
             quarantine: this.quarantine,
             membership: this.membership,
             isStoreReachable: dependencies.isStoreReachable,
+            readsAtStart: !dependencies.isFirstStart,
+            isIsolated: () => this.peers.livingCount === 1 && this.peers.ids().length > 0,
         });
         this.forwarder = new Forwarder({
             clock,
@@ -231,6 +235,7 @@
             crashDetector,
             quarantine: this.quarantine,
             quarantineStore: dependencies.quarantineStore,
+            quarantineLoaded: this.quarantineKeeper.loaded,
             partTrials: new PartTrials(random, () => this.peers.livingCount),
             metrics: this.metrics,
             entryId: self.id,
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -51,6 +51,8 @@
     crashDetector: CrashDetector;
     quarantine: Quarantine;
     quarantineStore: QuarantineStorePort;
+    /** Resolves when this entry knows what was quarantined before it started. */
+    quarantineLoaded: Promise<void>;
     partTrials: PartTrials;
     metrics: Metrics;
     /** Identifier of this entry. */
--- a/src/core/forwarding/quarantineGate.ts
+++ b/src/core/forwarding/quarantineGate.ts
@@ -32,8 +32,9 @@
 
     /** Must be called before each send. Throws a `RequestFailure` while the request is quarantined. */
     async pass(): Promise<void> {
-        const { quarantine, clock } = this.progress.dependencies;
+        const { quarantine, clock, quarantineLoaded } = this.progress.dependencies;
         const { fingerprint } = this.progress;
+        await quarantineLoaded;
         await this.waitForChecks();
         // A timer may run a little before its time.
         for (let wait = quarantine.timeUntilKnown(fingerprint); wait > 0;) {
--- a/src/replay/simulatedEntries.ts
+++ b/src/replay/simulatedEntries.ts
@@ -121,6 +121,7 @@
             coldLimits: () => coldStartLimits,
             knownRevisions: () => ({ [StateKind.Endpoints]: this.revision }),
             readAges: () => ({ [StateKind.Endpoints]: 0 }),
+            isFirstStart: true,
             isStoreReachable: () => true,
             plannedStop: () => undefined,
             announcePause: ({ address }, endpoint, duration) => {
