--- a/src/replay/pattern.ts
+++ b/src/replay/pattern.ts
@@ -41,6 +41,8 @@
     ColdAgain = "coldAgain",
     /** Operators take the data centre out, and bring it back in after the fault's duration. */
     DataCentreOut = "out",
+    /** A load balancer hands `share` of the first tries to one entry. */
+    ConnectionsSkewed = "connectionsSkewed",
     /** Entries receive no messages from one another; all other traffic reaches them. */
     EntriesPartitioned = "entriesCut",
     /** Entries of the first two data centres receive no messages from one another; all others reach both. */
--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -81,6 +81,8 @@
     private readonly fleet: SimulatedFleet;
     private readonly entries: SimulatedEntries;
     private readonly lines: ReplayLogLine[] = [];
+    /** Share of the first tries that one entry gets, besides its ordinary share of the rest. */
+    private skewedShare = 0;
 
     constructor(private readonly pattern: Pattern, private readonly options: ReplayOptions) {
         const { pattern: { entries, dataCentres, delay, loss } } = pattern;
@@ -109,7 +111,11 @@
         const repeatedTries: RepeatedTry[] = [];
         for (const arrival of generateReplayArrivals(pattern, this.options.seed)) {
             clock.after(warmUpDuration + arrival.at, () => {
-                const dependencies = { clock, fleet: this.fleet, pickEntry: () => this.pickEntry() };
+                const dependencies = {
+                    clock,
+                    fleet: this.fleet,
+                    pickEntry: (isFirstTry: boolean) => this.pickEntry(isFirstTry),
+                };
                 void simulateCaller(dependencies, arrival, pattern.kind[arrival.kind]!).then(record =>
                     records.push(record)
                 );
@@ -157,8 +163,11 @@
         };
     }
 
-    private pickEntry(): EntryCore {
+    private pickEntry(isFirstTry: boolean): EntryCore {
         const { entries } = this.entries;
+        if (isFirstTry && this.skewedShare > 0 && this.random.next() < this.skewedShare) {
+            return entries[0]!;
+        }
         return entries[Math.floor(this.random.next() * entries.length)]!;
     }
 
@@ -204,6 +213,10 @@
                     clock.after(duration, () => this.entries.setDataCentreOut(name, false));
                 }
                 return;
+            case FaultType.ConnectionsSkewed:
+                this.skewedShare = fault.share;
+                clock.after(duration, () => this.skewedShare = 0);
+                return;
             case FaultType.DataCentresCut:
                 this.entries.cutDataCentres = true;
                 clock.after(duration, () => this.entries.cutDataCentres = false);
--- a/src/replay/simulatedCaller.ts
+++ b/src/replay/simulatedCaller.ts
@@ -59,7 +59,7 @@
     clock: Clock;
     fleet: SimulatedFleet;
     /** Picks the entry for the next try, as a load balancer does. */
-    pickEntry: () => EntryCore;
+    pickEntry: (isFirstTry: boolean) => EntryCore;
 }
 
 /** Simulates one caller until its request has ended. */
@@ -127,7 +127,7 @@
         const exchange = new SimulatedExchange(this.createHead(id), body, () => this.recordEvent());
         const { target, targetGap } = this.kind;
         const patience = Math.max(minimumPatience, patiencePerTarget * target, patiencePerTargetGap * targetGap);
-        const entry = pickEntry();
+        const entry = pickEntry(this.firstTry === undefined);
         this.firstTry ??= { entry: entry.id, isServed: false };
         const served = entry.forwarder.serve(exchange);
         while (exchange.result === undefined) {
