Entries lend their unused shares of endpoints' limits to one that gets most callers

Cause: each entry keeps an even share of each limit, and the others' lie idle.

An entry that has hardly an endpoint left asks the others, and those that need nothing themselves lend three quarters of what they don't use, for three seconds. The sum holds when messages are lost, an entry dies, stands still or is cut off: a lender gives up what it lends before it tells, and until the borrower's requests have left the counting window; a borrower counts from when it asked, and gives back what it doesn't need.

Nothing is sent without need.

--- a/__tests__/forwarding/placementClient.test.ts
+++ b/__tests__/forwarding/placementClient.test.ts
@@ -72,6 +72,7 @@
                 limits: new EndpointLimits(clock, silentLog, { knownCount: 9, rank: () => 5 }),
                 pauses: new EndpointPauses(clock, silentLog),
                 reportedStates: new ReportedStates(clock, silentLog),
+                onShortage: () => {},
             }),
             selector: new EndpointSelector(loads, new FailureTracker(clock, silentLog, "entry-1"), seededRandom(1)),
             loads,
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -120,6 +120,8 @@
     z.object({ type: z.literal("Chosen"), serial: z.number(), placement: placementSchema, busyFor: z.number() }),
 ]);
 
+const lentAllowanceSchema = z.object({ endpoint: z.string(), count: z.number().int().min(0) });
+
 const messageSchema = z.object({
     from: peerAddressSchema.extend({ incarnation: z.string() }),
     news: z.array(z.discriminatedUnion("type", [
@@ -136,6 +138,9 @@
         z.object({ type: z.literal("Outcome"), endpoint: z.string(), fate: z.enum(SendResult) }),
         z.object({ type: z.literal("PlacementAsked"), question: placementQuestionSchema }),
         z.object({ type: z.literal("PlacementAnswered"), answer: placementAnswerSchema }),
+        z.object({ type: z.literal("AllowanceAsked"), serial: z.number() }),
+        z.object({ type: z.literal("AllowanceLent"), serial: z.number(), allowances: z.array(lentAllowanceSchema) }),
+        z.object({ type: z.literal("AllowanceReturned"), serial: z.number(), kept: z.array(lentAllowanceSchema) }),
         z.object({ type: z.literal("Stopping") }),
         z.object({ type: z.literal("Greeting") }),
         z.object({ type: z.literal("Entries"), entries: z.array(peerAddressSchema) }),
--- a/src/core/budgets/endpointLimits.ts
+++ b/src/core/budgets/endpointLimits.ts
@@ -5,15 +5,18 @@
  * the endpoint's requests, so each keeps to a share of the limit, and the sum holds even when messages between entries
  * are lost. The newest limit of an endpoint applies, whichever entry received it.
  */
-import type { AdvertisedLimit } from "../../ports/peerChannelPort.js";
+import type { AdvertisedLimit, LentAllowance } from "../../ports/peerChannelPort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { KeyedWindows } from "../../utils/keyedWindows.js";
 import type { PartLog } from "../../utils/log.js";
 import { newestReports } from "../membership/newestReports.js";
+import type { AllowanceLoans } from "./allowanceLoans.js";
 
 /** Window over which requests are counted. */
-const countingWindow: Milliseconds = 4_000;
+export const countingWindow: Milliseconds = 4_000;
 const countingWindowSeconds = countingWindow / 1_000;
+/** Window over which the present use is measured. */
+const recentWindow: Milliseconds = 1_000;
 /** How far requests in a window may exceed a limit: by a factor, and by a number of requests on top. */
 const excessFactor = 1.5;
 const excessExtra = 5;
@@ -46,12 +49,23 @@
     receivedAt: Milliseconds;
 }
 
+/** Requests in a counting window that all entries together may send. */
+const wholeAllowance = (perSecond: number, allowance: Allowance): number => {
+    const advertised = perSecond * countingWindowSeconds;
+    return Math.floor(
+        allowance === Allowance.Named ? advertised : usableExcessRatio * (excessFactor * advertised + excessExtra),
+    );
+};
+
 /** The limits in force, and this entry's shares of them. */
 export class EndpointLimits {
     /** Called when a response to this entry changes a limit. */
     onChange: () => void = () => {};
+    /** What this entry has lent to others and borrowed from them. */
+    loans: Pick<AllowanceLoans, "lent" | "borrowed" | "isBorrowing"> | undefined;
     private readonly receivedLimits = new Map<string, ReceivedLimit>();
     private readonly sends: KeyedWindows;
+    private readonly recentSends: KeyedWindows;
 
     constructor(
         private readonly clock: Clock,
@@ -59,6 +73,7 @@
         private readonly entries: KnownEntries,
     ) {
         this.sends = new KeyedWindows(clock, () => countingWindow);
+        this.recentSends = new KeyedWindows(clock, () => recentWindow);
     }
 
     /** Number of endpoints with a limit now. */
@@ -76,7 +91,49 @@
     allows(endpoint: string, allowance: Allowance): boolean {
         const perSecond = this.limitOf(endpoint);
         return perSecond === undefined
-            || this.sends.count(endpoint) + 1 <= this.shareOfLimit(endpoint, perSecond, allowance);
+            || this.sends.count(endpoint) + 1 <= this.allowanceOf(endpoint, perSecond, allowance);
+    }
+
+    /** Whether this entry has borrowed allowances, and would exceed its own if it went on sending as in the last second. */
+    exceedsOwnShares(endpoints: readonly string[]): boolean {
+        if (this.loans?.isBorrowing !== true) {
+            return false;
+        }
+        let share = 0;
+        let recent = 0;
+        for (const endpoint of endpoints) {
+            const perSecond = this.limitOf(endpoint);
+            if (perSecond !== undefined) {
+                share += this.shareOfLimit(endpoint, perSecond, Allowance.Named);
+                recent += this.recentSends.count(endpoint);
+            }
+        }
+        return recent * (countingWindow / recentWindow) > share;
+    }
+
+    /** Requests that this entry has sent in the counting window beyond its own share. */
+    borrowedUse(endpoint: string): number {
+        const perSecond = this.limitOf(endpoint);
+        return perSecond === undefined
+            ? 0
+            : Math.max(0, this.sends.count(endpoint) - this.shareOfLimit(endpoint, perSecond, Allowance.Named));
+    }
+
+    /** Returns what is left of this entry's own shares of the advertised limits, without what it has borrowed. */
+    unusedAllowances(): LentAllowance[] {
+        const unused: LentAllowance[] = [];
+        for (const endpoint of this.receivedLimits.keys()) {
+            const perSecond = this.limitOf(endpoint);
+            if (perSecond === undefined) {
+                continue;
+            }
+            const share = this.shareOfLimit(endpoint, perSecond, Allowance.Named) - (this.loans?.lent(endpoint) ?? 0);
+            const count = share - this.sends.count(endpoint);
+            if (count > 0) {
+                unused.push({ endpoint, count });
+            }
+        }
+        return unused;
     }
 
     /** Time until this entry's share of the endpoint's limit has capacity again. */
@@ -87,6 +144,7 @@
     /** Records a request to any endpoint, as its response may advertise a limit. */
     recordSent(endpoint: string): void {
         this.sends.add(endpoint);
+        this.recentSends.add(endpoint);
     }
 
     /** Records a limit that a response advertises. */
@@ -130,15 +188,22 @@
         }
     }
 
+    private allowanceOf(endpoint: string, perSecond: number, allowance: Allowance): number {
+        const { loans } = this;
+        const share = this.shareOfLimit(endpoint, perSecond, allowance);
+        if (!loans) {
+            return share;
+        }
+        // Loans may date from a higher limit.
+        return Math.min(share - loans.lent(endpoint) + loans.borrowed(endpoint), wholeAllowance(perSecond, allowance));
+    }
+
     /**
      * Divides a limit into whole requests per entry; the entries with the lowest ranks get the remainder, so that the
      * shares add up to the whole limit.
      */
     private shareOfLimit(endpoint: string, perSecond: number, allowance: Allowance): number {
-        const advertised = perSecond * countingWindowSeconds;
-        const requestCount = Math.floor(
-            allowance === Allowance.Named ? advertised : usableExcessRatio * (excessFactor * advertised + excessExtra),
-        );
+        const requestCount = wholeAllowance(perSecond, allowance);
         const { knownCount } = this.entries;
         return Math.floor(requestCount / knownCount) + Number(this.entries.rank(endpoint) < requestCount % knownCount);
     }
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -10,8 +10,9 @@
 import type { Clock } from "../utils/clock.js";
 import type { PartLog } from "../utils/log.js";
 import type { Random } from "../utils/random.js";
+import { AllowanceLoans } from "./budgets/allowanceLoans.js";
 import { ColdBudget, type ColdLimits } from "./budgets/coldBudget.js";
-import { EndpointLimits } from "./budgets/endpointLimits.js";
+import { countingWindow, EndpointLimits } from "./budgets/endpointLimits.js";
 import { EndpointPauses } from "./budgets/endpointPauses.js";
 import { type RetryLimits, SharedRetryBudget } from "./budgets/sharedRetryBudget.js";
 import { ActiveConfiguration } from "./configuration/activeConfiguration.js";
@@ -91,6 +92,7 @@
     /** Admits connections that this entry carries for others. */
     readonly relayGuard: RelayGuard;
     readonly forwarder: Forwarder;
+    private readonly loans: AllowanceLoans;
     private readonly failures: FailureTracker;
     private readonly placementClient: PlacementClient;
     readonly id: string;
@@ -123,6 +125,9 @@
                 dependencies.publishesPlacements && this.forwarder.isReady && dependencies.plannedStop() === undefined,
             limits: () => this.limits.snapshot(),
             onLimits: advertised => this.limits.merge(advertised),
+            onAllowanceAsked: (from, serial) => this.loans.answer(from, serial),
+            onAllowanceReturned: (from, serial, kept) => this.loans.receiveReturn(from, serial, kept),
+            onAllowanceLent: (from, serial, allowances) => this.loans.receive(from, serial, allowances),
             reportedStates: () => this.reportedStates.snapshot(),
             onReportedStates: states => this.reportedStates.merge(states),
             crashNews: () => this.quarantine.snapshot(),
@@ -147,7 +152,29 @@
         const { directory, loads, metrics, peers } = this;
         const coldBudget = new ColdBudget(clock, dependencies.coldLimits, this.membership);
         const { limits, pauses, reportedStates } = this;
-        const eligibility = new Eligibility({ clock, directory, coldBudget, limits, pauses, reportedStates });
+        const loans = new AllowanceLoans({
+            clock,
+            self: self.id,
+            countingWindow,
+            unusedAllowances: () => limits.unusedAllowances(),
+            livingPeers: () => peers.livingPeers().map(({ identity }) => identity),
+            borrowedUse: endpoint => limits.borrowedUse(endpoint),
+            ask: (address, serial) => peers.requestAllowance(address, serial),
+            giveBack: (address, serial, kept) => peers.returnAllowance(address, serial, kept),
+            lend: (address, serial, allowances) => peers.lendAllowance(address, serial, allowances),
+        });
+        limits.loans = loans;
+        this.loans = loans;
+        const onShortage = () => loans.recordNeed();
+        const eligibility = new Eligibility({
+            clock,
+            directory,
+            coldBudget,
+            limits,
+            pauses,
+            reportedStates,
+            onShortage,
+        });
         this.links = new LinkTracker({
             clock,
             random,
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -6,6 +6,7 @@
     AdvertisedLimit,
     CrashNews,
     KnownRevisions,
+    LentAllowance,
     PeerAddress,
     PeerChannelPort,
     PeerIdentity,
@@ -66,6 +67,9 @@
     /** The limits that endpoints have advertised to this entry, and a callback for those received from another entry. */
     limits?: () => AdvertisedLimit[];
     onLimits?: (limits: readonly AdvertisedLimit[]) => void;
+    onAllowanceAsked?: (from: PeerIdentity, serial: number) => void;
+    onAllowanceReturned?: (from: string, serial: number, kept: readonly LentAllowance[]) => void;
+    onAllowanceLent?: (from: PeerIdentity, serial: number, allowances: readonly LentAllowance[]) => void;
     /** The states that endpoints have reported to this entry, and a callback for those received from another entry. */
     reportedStates?: () => ReportedState[];
     onReportedStates?: (states: readonly ReportedState[]) => void;
@@ -162,6 +166,21 @@
         this.sender.sendTo([address], [{ type: "PlacementAsked", question }]);
     }
 
+    /** Asks the entry at `address` for a part of its unused shares of endpoints' limits. */
+    requestAllowance(address: string, serial: number): void {
+        this.sender.sendTo([address], [{ type: "AllowanceAsked", serial }]);
+    }
+
+    /** Gives back to the entry at `address` what this one doesn't keep of a loan. */
+    returnAllowance(address: string, serial: number, kept: LentAllowance[]): void {
+        this.sender.sendTo([address], [{ type: "AllowanceReturned", serial, kept }]);
+    }
+
+    /** Tells the entry at `address` what this one lends to it. */
+    lendAllowance(address: string, serial: number, allowances: LentAllowance[]): void {
+        this.sender.sendTo([address], [{ type: "AllowanceLent", serial, allowances }]);
+    }
+
     /** Changes whenever the set of known entries or their reported state changes. */
     get version(): number {
         return this.registry.version;
@@ -354,6 +373,15 @@
             case "PlacementAnswered":
                 this.dependencies.onPlacementAnswered?.(update.answer);
                 return;
+            case "AllowanceAsked":
+                this.dependencies.onAllowanceAsked?.(from, update.serial);
+                return;
+            case "AllowanceLent":
+                this.dependencies.onAllowanceLent?.(from, update.serial, update.allowances);
+                return;
+            case "AllowanceReturned":
+                this.dependencies.onAllowanceReturned?.(from.id, update.serial, update.kept);
+                return;
             case "Stopping":
                 if (this.registry.recordStopping(from.id)) {
                     this.sender.invalidateRecipients();
--- a/src/core/placement/eligibility.ts
+++ b/src/core/placement/eligibility.ts
@@ -16,6 +16,9 @@
  */
 const minimumShareWithinLimit = 0.5;
 
+/** Where fewer of a service's endpoints than this accept one more request from this entry, it needs more allowance. */
+const minimumOpenShare = 0.25;
+
 /** Usable endpoints of a service that this entry may not, or hardly, use now; all others are available. */
 export interface Restrictions {
     /** Endpoints that shut down, that are paused, or that have received this entry's share of their limit. */
@@ -37,6 +40,8 @@
     limits: EndpointLimits;
     pauses: EndpointPauses;
     reportedStates: ReportedStates;
+    /** Called when this entry's shares of the limits are used up at most endpoints of a service. */
+    onShortage: () => void;
 }
 
 /** Filters endpoints by whether they may receive requests from this entry. */
@@ -110,6 +115,9 @@
             }
         }
         const toleratesExcess = availableCount - atLimit.length < minimumShareWithinLimit * availableCount;
+        if (atLimit.length > 0) {
+            this.detectShortage(service);
+        }
         for (const id of atLimit) {
             if (!toleratesExcess || !limits.allows(id, Allowance.Excess)) {
                 exhausted.add(id);
@@ -135,6 +143,16 @@
         return waits.length === 0 ? undefined : Math.min(...waits);
     }
 
+    /** Reports when hardly any endpoint is left, and while this entry sends more than its own shares allow. */
+    private detectShortage(service: ServiceDefinition): void {
+        const { directory, limits, onShortage } = this.dependencies;
+        const ids = directory.usable(service.name).map(({ record: { id } }) => id);
+        const openCount = ids.filter(id => limits.allows(id, Allowance.Excess)).length;
+        if (openCount < minimumOpenShare * ids.length || limits.exceedsOwnShares(ids)) {
+            onShortage();
+        }
+    }
+
     private waitFor(endpoint: KnownEndpoint): Milliseconds | undefined {
         const { limits } = this.dependencies;
         if (this.isLeaving(endpoint)) {
--- a/src/ports/peerChannelPort.ts
+++ b/src/ports/peerChannelPort.ts
@@ -107,6 +107,12 @@
     survivedParts?: PartReport[];
 }
 
+/** Requests per counting window that one entry lets another one send to an endpoint. */
+export interface LentAllowance {
+    endpoint: string;
+    count: number;
+}
+
 /** Changes of a kind of stored objects, for an entry that has all earlier ones. */
 export interface StateDelta {
     kind: StateKind;
@@ -154,6 +160,11 @@
     | OutcomeUpdate
     | { type: "PlacementAsked"; question: PlacementQuestion; }
     | { type: "PlacementAnswered"; answer: PlacementAnswer; }
+    /** Asks for a part of the receiver's unused shares of endpoints' limits, and the answer. */
+    | { type: "AllowanceAsked"; serial: number; }
+    | { type: "AllowanceLent"; serial: number; allowances: LentAllowance[]; }
+    /** What the sender keeps of a loan; the rest is given back. */
+    | { type: "AllowanceReturned"; serial: number; kept: LentAllowance[]; }
     | { type: "Stopping"; }
     /** Asks for the entries that the receiver knows. */
     | { type: "Greeting"; }
