Only an answer that an endpoint writes clears a prompt's parts

A response that is no stream, such as a 400 of the endpoint, counted as a survived prompt, so that a part that crashes endpoints could return to service without having been written on. The new test failed before (one trial where two are due).

--- a/src/core/forwarding/quarantineGate.ts
+++ b/src/core/forwarding/quarantineGate.ts
@@ -90,7 +90,8 @@
     /** Records that an endpoint has served the request to its end. */
     recordCompletion(): void {
         this.progress.dependencies.quarantine.recordCompletion(this.progress.fingerprint);
-        if (!this.hasSurvived) {
+        // A response that is no stream may come before the endpoint writes anything.
+        if (!this.hasSurvived && this.writingSince !== undefined) {
             this.recordSurvived();
         }
     }
@@ -104,7 +105,7 @@
         this.hasSurvived = true;
         this.endPartTrial();
         if (request.sharedParts.length > 0) {
-            quarantine.recordSurvived(request.sharedParts, this.writingSince ?? this.servingSince);
+            quarantine.recordSurvived(request.sharedParts, this.writingSince!);
         }
     }
 
