What endpoints survived isn't told on by entries that only heard of it

With 30 entries a part that had been sound before was cleared of crashes that came later: its last survival seemed 1.4 s newer after 1.5 s. Cause: a report says how long ago something was and arrives a little late; entries told on what they had heard, so that it seemed newer with each round. Now each entry tells what it observed itself.

--- a/src/core/quarantine/crashingParts.ts
+++ b/src/core/quarantine/crashingParts.ts
@@ -10,7 +10,7 @@
 import { includesAll } from "./partSet.js";
 
 /** Crashes at which a part must have been present to be a cause, and crashes under trials of it. */
-const crashesOfCause = 5;
+export const crashesOfCause = 5;
 const trialCrashesOfCause = 2;
 const settledTrialCrashesOfCause = 1;
 
--- a/src/core/quarantine/partQuarantine.ts
+++ b/src/core/quarantine/partQuarantine.ts
@@ -8,7 +8,7 @@
  */
 import type { PartReport } from "../../ports/peerChannelPort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
-import { findCrashingParts, isExplained } from "./crashingParts.js";
+import { crashesOfCause, findCrashingParts, isExplained } from "./crashingParts.js";
 import type { Crash, CrashLog } from "./crashLog.js";
 import { includesAll, keyOfParts, partsOfKey } from "./partSet.js";
 import { PartSurvivals, survivalDuration } from "./partSurvivals.js";
@@ -54,6 +54,14 @@
         return parts.filter(part => sets.some(set => set.includes(part)) || this.isSuspect(part, sets));
     }
 
+    /** Whether one of `parts` needs only a crash under a trial to count as a cause. */
+    areDecidedByOneTrial(parts: readonly string[]): boolean {
+        return parts.some(part =>
+            this.crashLog.crashesWithPart(part)
+                .filter(crash => !this.isCleared(part, crash) && this.isSettled(crash)).length >= crashesOfCause
+        );
+    }
+
     /** When the last crash happened at which one of `parts` was present, on the local clock. */
     lastCrashAt(parts: readonly string[]): Milliseconds {
         const crashes = parts.flatMap(part => this.crashLog.crashesWithPart(part));
@@ -65,7 +73,7 @@
         let isNews = false;
         for (const part of parts) {
             const wasAtCrash = this.crashLog.crashesWithPart(part).some(crash => !this.isCleared(part, crash));
-            isNews = (this.survivals.add(part, at) && wasAtCrash) || isNews;
+            isNews = (this.survivals.observe(part, at) && wasAtCrash) || isNews;
         }
         return this.removeCleared() || isNews;
     }
@@ -74,7 +82,7 @@
     merge(reports: readonly PartReport[]): void {
         const now = this.clock.now();
         for (const { part, age } of reports) {
-            this.survivals.add(part, now - age);
+            this.survivals.learn(part, now - age);
         }
         this.removeCleared();
     }
