Crashes keep the parts of all requests of an endpoint, and tell those present at most crashes

Sixteen parts were kept of a crash, first come, so that the parts of many bystanders could crowd out the one that matters.

--- a/src/core/quarantine/crashLog.ts
+++ b/src/core/quarantine/crashLog.ts
@@ -16,8 +16,10 @@
 const maximumSharedCount = 16;
 const maximumSharedRequestCount = 16;
 
-/** Most prompt parts of one crash that are kept and reported, those of the requests served shortest. */
-const maximumPartCount = 16;
+/** Most prompt parts of one crash that are kept, those of all requests that an endpoint runs or queues. */
+const maximumPartCount = 64;
+/** Most prompt parts of one crash in a heartbeat: those present at most crashes. Many are present at one crash only. */
+const maximumSharedPartCount = 12;
 
 /** How a prompt part was present at a crash. */
 export interface PartPresence {
@@ -110,6 +112,11 @@
         return true;
     }
 
+    private partsToShare({ parts }: Crash): string[] {
+        const countOf = (part: string) => this.crashesWithPart(part).length;
+        return [...parts.keys()].sort((left, right) => countOf(right) - countOf(left)).slice(0, maximumSharedPartCount);
+    }
+
     private invalidate(): void {
         this.heads.invalidate();
         this.crashesByPart = undefined;
@@ -124,7 +131,7 @@
     recentReports(): CrashReport[] {
         const now = this.clock.now();
         return this.all().filter(({ at }) => now - at < sharingDuration)
-            .slice(-maximumSharedCount).map(crash => toReport(crash, now));
+            .slice(-maximumSharedCount).map(crash => toReport(crash, this.partsToShare(crash), now));
     }
 
     private removeExpired(): void {
@@ -190,7 +197,11 @@
 };
 
 /** The requests served shortest come first, because they are the likely causes. */
-const toReport = ({ endpoint, incarnation, at, servedFor, parts }: Crash, now: Milliseconds): CrashReport => ({
+const toReport = (
+    { endpoint, incarnation, at, servedFor, parts }: Crash,
+    sharedParts: string[],
+    now: Milliseconds,
+): CrashReport => ({
     endpoint,
     incarnation,
     age: Math.round(now - at),
@@ -199,8 +210,8 @@
             request,
             servedFor: Math.round(duration),
         })),
-    parts: [...parts.keys()],
-    trialParts: [...parts].filter(([, { isTrial }]) => isTrial).map(([part]) => part),
+    parts: sharedParts,
+    trialParts: sharedParts.filter(part => parts.get(part)!.isTrial),
 });
 
 /** Converts the parts that another entry reported. */
