A part that was sound before is found in time when it begins to crash endpoints

Causes: an answer that ends just before its endpoint crashes by it cleared the part, as no other response broke off there; while all endpoints are down, each entry kept a trial waiting, and all were sent when the first ones came back.

A short answer clears its parts after a second, if its endpoint still accepts connections.

--- a/__tests__/forwarding/suspectParts.test.ts
+++ b/__tests__/forwarding/suspectParts.test.ts
@@ -2,6 +2,8 @@
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { parseSharedParts } from "../../platform/promptParts.js";
 import type { ReplicaServer } from "../../platform/standins/replicaServer.js";
+import { survivalDuration } from "../../src/core/quarantine/partSurvivals.js";
+import { systemClock } from "../../src/utils/clock.js";
 import { call, type CallerResponse, generation, Site, type SiteEntry, until } from "./support/site.js";
 
 let site: Site;
@@ -20,6 +22,7 @@
 
 afterEach(() => site.close());
 
+const rejectedStatus = 503;
 let nextBody = 0;
 
 /** Sends a request that differs from all others; the last of its parts is its own. */
@@ -52,13 +55,23 @@
 
 const linesWith = (text: string) => site.lines.filter(({ message }) => message.includes(text));
 
+/** Sends requests with the broken part until `count` endpoints have crashed; some are rejected between two trials. */
 const crash = async (count: number): Promise<void> => {
     for (let index = 0; index < count; index++) {
-        await callWithParts("1234:800,badbad:40");
+        let status = rejectedStatus;
+        while (status === rejectedStatus) {
+            ({ status } = await callWithParts("1234:800,badbad:40"));
+        }
         await until(() => linesWith("An endpoint crashed").length > index);
     }
 };
 
+/** Has a sound request served, and waits until its endpoint has survived it. */
+const serveCompanion = async (): Promise<void> => {
+    expect((await callWithParts("1234:800")).status).toBe(200);
+    await systemClock.sleep(survivalDuration + 100);
+};
+
 const untilQuarantined = (content: string): Promise<void> =>
     until(() => linesWith("A request is quarantined").some(({ fields }) => fields.content === content));
 
@@ -67,14 +80,14 @@
     onBrokenPart(replica => replica.crash());
     await crash(5);
     await untilQuarantined("parts:1234+badbad");
-    expect((await callWithParts("1234:800")).status).toBe(200);
+    await serveCompanion();
     expect((await callWithParts("badbad:40,99:1")).status).toBe(503);
     expect((await callWithParts("1234:800,77:1")).status).toBe(200);
     expect(brokenArrivals()).toBe(5);
 });
 
 test("part is refused after the fifth crash, and its companion is served", async () => {
-    expect((await callWithParts("1234:800")).status).toBe(200);
+    await serveCompanion();
     onBrokenPart(replica => replica.crash());
     await crash(5);
     await untilQuarantined("parts:badbad");
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -20,6 +20,7 @@
 import type { PartTrials } from "../quarantine/partTrials.js";
 import type { Quarantine } from "../quarantine/quarantine.js";
 import type { EndedProcesses } from "../reachability/endedProcesses.js";
+import type { EndpointChecker } from "../reachability/endpointChecker.js";
 import type { LossReports } from "../reachability/lossReports.js";
 
 /** A planned stop of this entry. Times are on the local clock. */
@@ -43,6 +44,7 @@
     failureTracker: FailureTracker;
     lossReports: LossReports;
     endedProcesses: EndedProcesses;
+    endpointChecker: Pick<EndpointChecker, "check">;
     retryBudget: SharedRetryBudget;
     coldBudget: ColdBudget;
     eligibility: Eligibility;
--- a/src/core/forwarding/quarantineGate.ts
+++ b/src/core/forwarding/quarantineGate.ts
@@ -8,6 +8,7 @@
 import { survivalDuration } from "../quarantine/partSurvivals.js";
 import type { TrialEnd } from "../quarantine/partTrials.js";
 import { describeCrashes, type QuarantinedRequest } from "../quarantine/quarantinedRequest.js";
+import { EndpointCondition } from "../reachability/endpointChecker.js";
 import type { RequestProgress } from "./requestProgress.js";
 
 /** Longest delay of a further send, until it is known whether an endpoint that broke the request off has crashed. */
@@ -16,6 +17,9 @@
 /** Retry-After of a prompt with suspect parts: about the time until it is known which of them crash endpoints. */
 const suspectRetrySeconds = 1;
 
+/** Time after a crash in which it is decided what caused it. Until then, a trial that broke off allows no further one. */
+const decisionDuration: Milliseconds = 500;
+
 /** The quarantine as one request meets it. */
 export class QuarantineGate {
     private servingSince: Milliseconds = 0;
@@ -27,6 +31,7 @@
     /** When the endpoint began to write the answer; undefined before. */
     private writingSince: Milliseconds | undefined;
     private hasSurvived = false;
+    private hasBroken = false;
 
     constructor(private readonly progress: RequestProgress) {}
 
@@ -73,12 +78,18 @@
 
     /** Must be called when the request has ended. */
     end(): void {
-        this.endPartTrial();
+        if (this.hasBroken) {
+            this.progress.dependencies.clock.after(decisionDuration, this.endPartTrial);
+        }
+        else {
+            this.endPartTrial();
+        }
     }
 
     /** Records that `endpoint` broke off its response to the request. */
     recordBroken(endpoint: EndpointRecord): void {
         const { crashDetector, clock } = this.progress.dependencies;
+        this.hasBroken = true;
         const servedFor = clock.now() - this.servingSince;
         crashDetector.recordBroken(endpoint, {
             request: this.progress.fingerprint.value,
@@ -87,11 +98,26 @@
         });
     }
 
-    /** Records that an endpoint has served the request to its end. */
-    recordCompletion(): void {
-        this.progress.dependencies.quarantine.recordCompletion(this.progress.fingerprint);
+    /** Records that `endpoint` has served the request to its end. */
+    recordCompletion(endpoint: EndpointRecord): void {
+        const { quarantine, clock } = this.progress.dependencies;
+        quarantine.recordCompletion(this.progress.fingerprint);
         // A response that is no stream may come before the endpoint writes anything.
-        if (!this.hasSurvived && this.writingSince !== undefined) {
+        if (this.hasSurvived || this.writingSince === undefined) {
+            return;
+        }
+        clock.after(
+            Math.max(0, survivalDuration - this.writingFor),
+            () => void this.recordSurvivedUnlessCrashed(endpoint),
+        );
+    }
+
+    /** A short answer may end just before its endpoint crashes by it, with no other response that breaks off. */
+    private async recordSurvivedUnlessCrashed(endpoint: EndpointRecord): Promise<void> {
+        const { quarantine, endpointChecker } = this.progress.dependencies;
+        const isSuspect = quarantine.suspectParts(this.progress.request.sharedParts) !== undefined;
+        const condition = isSuspect ? await endpointChecker.check(endpoint) : EndpointCondition.Accepting;
+        if (condition === EndpointCondition.Accepting && !quarantine.hasCrashed(endpoint)) {
             this.recordSurvived();
         }
     }
@@ -122,25 +148,23 @@
             return;
         }
         const suspects = quarantine.suspectParts(this.progress.request.sharedParts);
-        if (suspects.length === 0) {
+        if (suspects === undefined) {
             return;
         }
-        const endTrial = this.progress.attempts.mayHaveRun
-            ? undefined
-            : partTrials.tryStart(suspects, quarantine.timeSinceCrash(suspects));
+        const endTrial = this.progress.attempts.mayHaveRun ? undefined : partTrials.tryStart(suspects);
         if (endTrial === undefined) {
-            this.rejectSuspect(suspects);
+            this.rejectSuspect(suspects.parts);
         }
-        this.partsOnTrial = suspects;
+        this.partsOnTrial = suspects.parts;
         this.endPartTrial = endTrial;
-        this.progress.log("A prompt with suspect parts is tried.", undefined, { parts: suspects });
+        this.progress.log("A prompt with suspect parts is tried.", undefined, { parts: suspects.parts });
     }
 
-    private rejectSuspect(suspects: readonly string[]): never {
+    private rejectSuspect(parts: readonly string[]): never {
         this.progress.dependencies.metrics.count("suspect_rejections_total");
         throw this.progress.createFailure(
             FailureKind.Quarantined,
-            `endpoints crashed under prompts with the parts ${suspects.join(", ")}, and others are being tried`,
+            `endpoints crashed under prompts with the parts ${parts.join(", ")}, and others are being tried`,
             suspectRetrySeconds,
         );
     }
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -213,7 +213,7 @@
         }
         else {
             this.dependencies.failureTracker.recordSucceeded(endpoint);
-            this.quarantineGate.recordCompletion();
+            this.quarantineGate.recordCompletion(endpoint.record);
         }
         if (this.progress.relay.hasStarted) {
             throw new StreamBrokenError(
@@ -261,7 +261,7 @@
             return false;
         }
         this.dependencies.failureTracker.recordSucceeded(endpoint);
-        this.quarantineGate.recordCompletion();
+        this.quarantineGate.recordCompletion(endpoint.record);
         this.progress.exchange.endStream();
         const { lastEventId, firstEventAfter, longestPause } = this.progress.relay;
         this.dependencies.metrics.observe("longest_pause_milliseconds", longestPause);
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -8,6 +8,7 @@
  */
 import type { CrashNews } from "../../ports/peerChannelPort.js";
 import type { StoredQuarantine } from "../../ports/quarantineStore.js";
+import type { EndpointRecord } from "../../types/routing.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
 import { Completions } from "./completions.js";
@@ -16,6 +17,7 @@
 import { crashesUntilQuarantine, findCulprits } from "./culprits.js";
 import { PartQuarantine } from "./partQuarantine.js";
 import { keyOfParts, partsOfKey } from "./partSet.js";
+import type { SuspectParts } from "./partTrials.js";
 import {
     describeCrashes,
     endOfRejection,
@@ -79,14 +81,22 @@
         return found;
     }
 
-    /** Returns those of a prompt's shared parts that an endpoint may crash by, without being quarantined together. */
-    suspectParts(sharedParts: readonly string[]): string[] {
-        return this.parts.suspects(sharedParts);
+    /**
+     * Returns those of a prompt's shared parts that an endpoint may crash by, without being quarantined together; undefined
+     * where there are none.
+     */
+    suspectParts(sharedParts: readonly string[]): SuspectParts | undefined {
+        const parts = this.parts.suspects(sharedParts);
+        return parts.length === 0 ? undefined : {
+            parts,
+            timeSinceCrash: this.clock.now() - this.parts.lastCrashAt(parts),
+            isDecidedByOneTrial: this.parts.areDecidedByOneTrial(parts),
+        };
     }
 
-    /** Time since the last crash at which one of these parts was present. */
-    timeSinceCrash(parts: readonly string[]): Milliseconds {
-        return this.clock.now() - this.parts.lastCrashAt(parts);
+    /** Whether the process of `endpoint` is known to have crashed. */
+    hasCrashed({ id, incarnation }: EndpointRecord): boolean {
+        return this.crashLog.get({ endpoint: id, incarnation }) !== undefined;
     }
 
     /** Records that an endpoint began at `at` to write on a prompt with these parts, and survived. */
--- a/src/replay/pattern.ts
+++ b/src/replay/pattern.ts
@@ -139,8 +139,10 @@
     parts: partList(),
     /** Share of the requests that have only the crashing part and an own one before it. */
     apartShare: ratio().prefault("0"),
-    /** The crashing part. */
+    /** The crashing part, when it begins to crash engines, in seconds from `at`, and for how many seconds it does. */
     part: setting.text(),
+    crashesFrom: optionalNumber(0),
+    crashesFor: optionalNumber(Number.MAX_SAFE_INTEGER),
     /** Customer that sends the requests, by rank. */
     customer: setting.wholeNumber(1).prefault("1"),
 });
--- a/src/replay/repeatedRequests.ts
+++ b/src/replay/repeatedRequests.ts
@@ -43,9 +43,9 @@
     let turn = caller;
     for (let repetition = 0; clock.now() < endsAt; repetition++) {
         const id = `${name}-${caller}-${repetition}`;
-        if (request.crashes && clock.now() < crashesUntil) {
-            fleet.markCrashing(`${id}.0`);
-            fleet.markCrashing(`${id}.1`);
+        if (request.crashes) {
+            fleet.markCrashing(`${id}.0`, { from: 0, until: crashesUntil });
+            fleet.markCrashing(`${id}.1`, { from: 0, until: crashesUntil });
         }
         const arrival = {
             id,
@@ -56,7 +56,7 @@
             promptTokens: kind.promptTokens,
             answerEvents: kind.answerEvents,
             parts: [],
-            crashes: false,
+            crashes: undefined,
             value: 0,
             lateValue: 0,
         };
--- a/src/replay/replayArrivals.ts
+++ b/src/replay/replayArrivals.ts
@@ -5,6 +5,12 @@
 import type { Random } from "../utils/random.js";
 import type { Pattern, PatternRequestKind } from "./pattern.js";
 
+/** A period, from the start of traffic. */
+export interface CrashPeriod {
+    from: Milliseconds;
+    until: Milliseconds;
+}
+
 /** One request of a replay. */
 export interface ReplayArrival {
     id: string;
@@ -18,8 +24,8 @@
     answerEvents: number;
     /** Parts of the prompt that other requests share. */
     parts: readonly string[];
-    /** Whether the request crashes each engine that begins to write an answer to it. */
-    crashes: boolean;
+    /** When the request crashes each engine that begins to write an answer to it; undefined where it never does. */
+    crashes: CrashPeriod | undefined;
     /** Value of a response in time, and of a late one. */
     value: number;
     lateValue: number;
@@ -70,7 +76,8 @@
 const generateCrashingArrivals = (
     pattern: Pattern,
     name: string,
-    { kind, at, seconds, rate, parts, apartShare, part, customer }: Pattern["crashingPart"][string],
+    { kind, at, seconds, rate, parts, apartShare, part, crashesFrom, crashesFor, customer }:
+        Pattern["crashingPart"][string],
     random: Random,
 ): ReplayArrival[] => {
     const ownPattern = { ...pattern, burst: {}, pattern: { ...pattern.pattern, seconds } };
@@ -81,7 +88,7 @@
         at: at * 1_000 + arrival.at,
         customer: pattern.pattern.customers === 0 ? undefined : customerName(customer),
         parts: random.next() < apartShare ? [`part-of-${name}-${arrival.id}`, part] : parts,
-        crashes: true,
+        crashes: { from: (at + crashesFrom) * 1_000, until: (at + crashesFrom + crashesFor) * 1_000 },
         value: 0,
         lateValue: 0,
     }));
@@ -166,7 +173,7 @@
                 promptTokens,
                 answerEvents,
                 parts: [],
-                crashes: false,
+                crashes: undefined,
                 value: kind.worth * valueFactor,
                 lateValue: kind.worthLate * valueFactor,
             });
--- a/src/replay/simulatedCaller.ts
+++ b/src/replay/simulatedCaller.ts
@@ -120,8 +120,10 @@
         const { clock, fleet, pickEntry } = this.dependencies;
         this.requestIds.push(id);
         fleet.setEventCount(id, this.arrival.answerEvents);
-        if (this.arrival.crashes) {
-            fleet.markCrashing(id);
+        const { at: arrivedAt, crashes } = this.arrival;
+        if (crashes) {
+            const offset = this.startedAt - arrivedAt;
+            fleet.markCrashing(id, { from: crashes.from + offset, until: crashes.until + offset });
         }
         const body = Buffer.from(this.arrival.content);
         const exchange = new SimulatedExchange(this.createHead(id), body, () => this.recordEvent());
--- a/src/replay/simulatedFleet.ts
+++ b/src/replay/simulatedFleet.ts
@@ -18,6 +18,7 @@
 import { describeError } from "../utils/errors.js";
 import { MemoryWatch } from "./memoryWatch.js";
 import { createEngineProfile, type Pattern } from "./pattern.js";
+import type { CrashPeriod } from "./replayArrivals.js";
 import { ListenState, SimulatedConnections } from "./simulatedConnections.js";
 import { type SimulatedLink, SimulatedLinks } from "./simulatedLinks.js";
 
@@ -87,7 +88,8 @@
     readonly memoryWatch: MemoryWatch;
     /** Called when a request has crashed an endpoint. */
     onCrash: (endpoint: SimulatedEndpoint) => void = () => {};
-    private readonly crashingRequestIds = new Set<string>();
+    /** When each request crashes the engines that begin to run it, on the simulated clock. */
+    private readonly crashPeriodByRequest = new Map<string, CrashPeriod>();
     /** Number of events in the complete response, by request id. */
     private readonly eventCountByRequest = new Map<string, number>();
 
@@ -130,9 +132,9 @@
         this.eventCountByRequest.set(id, eventCount);
     }
 
-    /** Makes the request crash each endpoint that begins to run it. */
-    markCrashing(id: string): void {
-        this.crashingRequestIds.add(id);
+    /** Makes the request crash each endpoint that begins to run it in `period`, on the simulated clock. */
+    markCrashing(id: string, period: CrashPeriod): void {
+        this.crashPeriodByRequest.set(id, period);
     }
 
     /** Watches the memory of all engines from now on. */
@@ -323,16 +325,18 @@
         };
         const run = (emitEvent: (event: number) => void) =>
             this.memoryWatch.watchRun(request.id, () => engine.run(work, emitEvent, signal));
-        if (!this.crashingRequestIds.has(request.id)) {
+        const crashPeriod = this.crashPeriodByRequest.get(request.id);
+        if (crashPeriod === undefined) {
             return run(emit);
         }
         let hasBegun = false;
         const emitAndCrash = (event: number) => {
             emit(event);
-            if (!hasBegun) {
-                hasBegun = true;
+            const now = this.clock.now();
+            if (!hasBegun && now >= crashPeriod.from && now < crashPeriod.until) {
                 this.clock.after(crashDelay, () => this.crash(endpoint, request.id));
             }
+            hasBegun = true;
         };
         return run(emitAndCrash);
     }
