Completions of requests aren't told on by entries that only heard of them

A request that had once completed and then began to crash endpoints was never quarantined while heartbeats went round. The new test failed before.

--- a/__tests__/forwarding/quarantine.test.ts
+++ b/__tests__/forwarding/quarantine.test.ts
@@ -121,6 +121,37 @@
     expect(first.isSuspect(harmless)).toBe(true);
 });
 
+/** Entries exchange what they know, and each message takes a moment. */
+const exchangeLate = async (entries: Entries): Promise<void> => {
+    const news = entries.all.map(entry => entry.snapshot());
+    await entries.pass(50);
+    for (const entry of entries.all) {
+        for (const [index, from] of entries.all.entries()) {
+            if (from !== entry && news[index]) {
+                entry.merge(`entry-${index}`, news[index]);
+            }
+        }
+    }
+};
+
+test("completion that entries tell one another clears no later crash", async () => {
+    // Guards against a completion that seems newer with each round, because each message takes a moment.
+    const entries = new Entries();
+    const [first, second, third] = entries.all as [Quarantine, Quarantine, Quarantine];
+    entries.crash([[first, poison, 100]]);
+    entries.exchange();
+    first.recordCompletion(poison);
+    for (const entry of [first, second, third]) {
+        await entries.pass(100);
+        entries.crash([[entry, poison, 100]]);
+        for (let round = 0; round < 10; round++) {
+            await exchangeLate(entries);
+        }
+        expect(entries.all.every(other => other.isSuspect(poison))).toBe(true);
+    }
+    expect(entries.all.every(entry => entry.find(poison) !== undefined)).toBe(true);
+});
+
 test("request whose cause is still open is decided after the other entries' reports", async () => {
     const entries = new Entries();
     for (let count = 0; count < 3; count++) {
--- a/src/core/quarantine/completions.ts
+++ b/src/core/quarantine/completions.ts
@@ -9,6 +9,8 @@
 /** Completions of suspect requests, each on the local clock. */
 export class Completions {
     private readonly completedAtByRequest = new Map<string, Milliseconds>();
+    /** What this entry observed itself; the others hear only of these. */
+    private readonly observedAtByRequest = new Map<string, Milliseconds>();
 
     constructor(private readonly clock: Clock) {}
 
@@ -17,8 +19,17 @@
         return this.completedAtByRequest.get(request);
     }
 
-    /** Records a completion. Returns false if it is older than a known one. */
-    add(request: string, at: Milliseconds): boolean {
+    /** Records a completion that this entry observed. Returns false if it is older than a known one. */
+    observe(request: string, at: Milliseconds): boolean {
+        const isNew = this.learn(request, at);
+        if (isNew) {
+            this.observedAtByRequest.set(request, at);
+        }
+        return isNew;
+    }
+
+    /** Records a completion that another entry observed. Returns false if it is older than a known one. */
+    learn(request: string, at: Milliseconds): boolean {
         this.removeExpired();
         const known = this.completedAtByRequest.get(request) ?? -Infinity;
         if (at <= known || this.clock.now() - at >= crashLifetime) {
@@ -29,19 +40,24 @@
         return true;
     }
 
-    /** Returns the newest completions in the form of a heartbeat. */
+    /**
+     * Returns the newest completions in the form of a heartbeat. Each report arrives a little late and so seems newer than it
+     * is; if entries passed on what they heard, it would seem newer with each round, and clear the request of later crashes.
+     */
     reports(): CompletionReport[] {
         this.removeExpired();
         const now = this.clock.now();
-        return [...this.completedAtByRequest].slice(-maximumSharedCount)
+        return [...this.observedAtByRequest].slice(-maximumSharedCount)
             .map(([request, at]) => ({ request, age: Math.round(now - at) }));
     }
 
     private removeExpired(): void {
         const now = this.clock.now();
-        for (const [request, at] of this.completedAtByRequest) {
-            if (now - at >= crashLifetime) {
-                this.completedAtByRequest.delete(request);
+        for (const atByRequest of [this.completedAtByRequest, this.observedAtByRequest]) {
+            for (const [request, at] of atByRequest) {
+                if (now - at >= crashLifetime) {
+                    atByRequest.delete(request);
+                }
             }
         }
     }
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -205,7 +205,9 @@
         const now = this.clock.now();
         this.parts.merge(survivedParts);
         for (const { request, age } of completions) {
-            this.clear(request, now - age);
+            if (this.completions.learn(request, now - age)) {
+                this.endQuarantine(request, now - age);
+            }
         }
         let hasNewCrash = false;
         for (const report of crashes) {
@@ -316,10 +318,14 @@
         });
     }
 
+    /** Clears a request of the crashes up to `at`, by what this entry observed. */
     private clear(request: string, at: Milliseconds): void {
-        if (!this.completions.add(request, at)) {
-            return;
+        if (this.completions.observe(request, at)) {
+            this.endQuarantine(request, at);
         }
+    }
+
+    private endQuarantine(request: string, at: Milliseconds): void {
         const quarantined = this.quarantined.get(request);
         if (quarantined && quarantined.since <= at) {
             this.quarantined.remove(request);
