A part that an operator has lifted stays in service

Its crashes before still counted, so that the next decision quarantined it again. Lifting counts as survived now. The new test failed before by reading alone; it was written with the fix.

--- a/__tests__/forwarding/quarantineKeeper.test.ts
+++ b/__tests__/forwarding/quarantineKeeper.test.ts
@@ -248,3 +248,28 @@
     await scene.pass(1_000);
     expect(isolated.find(poison)).toBeDefined();
 });
+
+test("part that an operator has lifted stays in service", async () => {
+    // Guards against a quarantine that the crashes before bring back at once.
+    const scene = new Scene();
+    const quarantine = scene.start();
+    const suspectParts = new Map([["broken", { isTrial: true }]]);
+    const crash = (count: number) =>
+        quarantine.recordCrash({
+            endpoint: `e-${count}`,
+            incarnation: 1,
+            at: scene.clock.now(),
+            requests: [{ request: `request-${count}`, servedFor: 100, suspectParts }],
+        });
+    for (const count of [1, 2, 3, 4, 5]) {
+        crash(count);
+    }
+    await scene.pass(2_000);
+    expect(scene.store.byRequest.has("parts:broken")).toBe(true);
+    scene.store.byRequest.clear();
+    await scene.pass(60_000);
+    crash(6);
+    await scene.pass(2_000);
+    expect(quarantine.find(fingerprintOf("/replies/9"), ["broken"])).toBeUndefined();
+    expect(scene.store.byRequest.has("parts:broken")).toBe(false);
+});
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -166,6 +166,7 @@
     lift(request: string): void {
         if (this.quarantined.get(request)) {
             this.clear(request, this.clock.now());
+            this.parts.recordSurvived(partsOfKey(request) ?? [], this.clock.now());
             this.onChange();
         }
     }
