A trial that ends twice doesn't end the next one

A request ends its trial when it ends, and once more when its endpoint is found to have survived it; the second one freed the place of another request's trial.

--- a/src/core/quarantine/partQuarantine.ts
+++ b/src/core/quarantine/partQuarantine.ts
@@ -24,9 +24,6 @@
 /** How long a sound request takes to be sent and to survive after a crash. */
 const settlingDuration: Milliseconds = survivalDuration + 200;
 
-/** Called when this entry has learned something by itself that the others need. */
-export type ChangeListener = () => void;
-
 /** The suspect and quarantined parts, as this entry knows them. */
 export class PartQuarantine {
     private readonly survivals: PartSurvivals;
--- a/src/core/quarantine/partTrials.ts
+++ b/src/core/quarantine/partTrials.ts
@@ -52,7 +52,13 @@
             return undefined;
         }
         this.setsInProgress.add(key);
-        return () => this.setsInProgress.delete(key);
+        let isOver = false;
+        return () => {
+            if (!isOver) {
+                isOver = true;
+                this.setsInProgress.delete(key);
+            }
+        };
     }
 
     private isThisEntrysTurn(key: string, { timeSinceCrash, isDecidedByOneTrial }: SuspectParts): boolean {
