--- a/src/core/budgets/allowanceLoans.ts
+++ b/src/core/budgets/allowanceLoans.ts
@@ -26,7 +26,7 @@
 const needDuration: Milliseconds = 500;
 /** Reserve for clocks that run at slightly different speeds. */
 const clockReserve: Milliseconds = 200;
-/** Most entries that are asked at the same time, and most endpoints in one loan, some 3 kB. */
+/** Most entries that are asked at the same time, and most endpoints in one loan, some 5 kB. */
 const maximumAskedCount = 64;
 const maximumEndpointCount = 128;
 
--- a/src/core/quarantine/quarantinedRequest.ts
+++ b/src/core/quarantine/quarantinedRequest.ts
@@ -24,7 +24,7 @@
 
 /** A quarantined request. Times are on the local clock. */
 export interface QuarantinedRequest {
-    /** Fingerprint of the request. */
+    /** Fingerprint of the request, or the key of a set of prompt parts. */
     request: string;
     since: Milliseconds;
     /** When the request last came or crashed an endpoint. */
--- a/src/ports/peerChannelPort.ts
+++ b/src/ports/peerChannelPort.ts
@@ -78,7 +78,7 @@
 
 /** A request that no entry sends, because it crashes endpoints. */
 export interface QuarantineReport {
-    /** Fingerprint of the request. */
+    /** Fingerprint of the request, or the key of a set of prompt parts. */
     request: string;
     /** Time since the quarantine began. */
     age: Milliseconds;
--- a/src/ports/quarantineStore.ts
+++ b/src/ports/quarantineStore.ts
@@ -2,7 +2,7 @@
 
 /** A quarantined request as the store keeps it. */
 export interface StoredQuarantine {
-    /** Fingerprint of the request. */
+    /** Fingerprint of the request, or the key of a set of prompt parts. */
     request: string;
     /** The crashes, without their age: the clocks of entries differ. */
     crashes: { endpoint: string; incarnation: number; }[];
