Test of suspect parts: crashed endpoints leave the list, as real ones do

Suspected by reading the path: an entry judges a refused connection only if one of three other endpoints accepts, and by then half of the listed ones had crashed. The stand-in also answers nothing any more when it crashes. Checks and bounds are the same.

--- a/__tests__/forwarding/suspectParts.test.ts
+++ b/__tests__/forwarding/suspectParts.test.ts
@@ -36,15 +36,25 @@
 
 const hasBrokenPart = (prefix: string | undefined): boolean => (prefix ?? "").includes("badbad");
 
-const onBrokenPart = (handle: (replica: ReplicaServer) => void): void => {
+enum Reaction {
+    Crash = "crash",
+    Refuse = "refuse",
+}
+
+const onBrokenPart = (reaction: Reaction): void => {
     for (const replica of replicas) {
         replica.fault = ({ headers, id }, response, own) => {
             if (!hasBrokenPart(headers["dandelionramp-prompt-prefix"])) {
                 return false;
             }
-            handle(own);
-            response.writeHead(400, own.responseHeaders(id)).end("no");
-            return true;
+            switch (reaction) {
+                case Reaction.Crash:
+                    own.crash();
+                    return true;
+                case Reaction.Refuse:
+                    response.writeHead(400, own.responseHeaders(id)).end("no");
+                    return true;
+            }
         };
     }
 };
@@ -63,6 +73,8 @@
             ({ status } = await callWithParts("1234:800,badbad:40"));
         }
         await until(() => linesWith("An endpoint crashed").length > index);
+        // An entry that finds only crashed endpoints when it checks one of them concludes nothing.
+        site.store.model.remove("servers", String(linesWith("An endpoint crashed").at(-1)!.fields.endpoint));
     }
 };
 
@@ -77,7 +89,7 @@
 
 test("companion that only such requests had is served, and no longer blamed", async () => {
     // Guards against sound requests that are refused because nothing has told two parts apart yet.
-    onBrokenPart(replica => replica.crash());
+    onBrokenPart(Reaction.Crash);
     await crash(5);
     await untilQuarantined("parts:1234+badbad");
     await serveCompanion();
@@ -88,7 +100,7 @@
 
 test("part is refused after the fifth crash, and its companion is served", async () => {
     await serveCompanion();
-    onBrokenPart(replica => replica.crash());
+    onBrokenPart(Reaction.Crash);
     await crash(5);
     await untilQuarantined("parts:badbad");
     const refused = await callWithParts("badbad:40,99:1");
@@ -102,9 +114,9 @@
 
 test("failure of an endpoint without a stream clears no part", async () => {
     // Guards against a part that returns to service because an endpoint refused the request before it wrote anything.
-    onBrokenPart(replica => replica.crash());
+    onBrokenPart(Reaction.Crash);
     await crash(3);
-    onBrokenPart(() => {});
+    onBrokenPart(Reaction.Refuse);
     await callWithParts("badbad:40");
     await callWithParts("badbad:40");
     expect(linesWith("A prompt with suspect parts is tried.").length).toBe(2);
