Scheduling: settings, policy and ranks of requests, for parts that follow

Cause: no decision knows how urgent a kind of request is, or whose request it is. Change: a section [scheduling] switches four optional parts; SchedulingPolicy answers which are on by the configuration in force. Placement questions carry rank, customer and age, placed work the customer; patterns may rank kinds. The log line of a configuration counts customers with a priority of their own.

--- a/__tests__/forwarding/placementClient.test.ts
+++ b/__tests__/forwarding/placementClient.test.ts
@@ -107,6 +107,7 @@
     request(): PlacementRequest {
         return {
             id: "r",
+            arrivedAt: 0,
             endsBy: 5_000,
             requirements: {
                 service,
--- a/__tests__/forwarding/settings.test.ts
+++ b/__tests__/forwarding/settings.test.ts
@@ -28,12 +28,17 @@
     "limits.cpu_share": "0.675",
 };
 
-const parseFilledTemplate = (changes: Record<string, string> = {}) => {
+const parseFilledTemplate = (changes: Record<string, string> = {}, addition = "") => {
     const fields = { ...defaultFields, ...changes };
-    const text = template.replace(/\{\{([^}]+)\}\}/g, (whole, name: string) => fields[name] ?? whole);
+    const text = template.replace(/\{\{([^}]+)\}\}/g, (whole, name: string) => fields[name] ?? whole) + addition;
     return parseSettings("entry.ini", text, forwardingSettingsSchema);
 };
 
+test("unknown switch of the scheduling names its key", () => {
+    expect(() => parseFilledTemplate({}, "\n[scheduling]\nranks = sometimes\n"))
+        .toThrow("[scheduling] ranks: expected one of auto, on, off");
+});
+
 test("usual settings", () => {
     const settings = parseFilledTemplate();
     expect(settings.listen.metrics).toBe("10.1.0.40:7341");
--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -9,6 +9,7 @@
 import { StoreClient } from "../../../platform/storeClient.js";
 import type { ForwardingSettings } from "../../../src/adapters/forwarding/entrySettings.js";
 import { ForwardingEntry } from "../../../src/adapters/forwarding/forwardingEntry.js";
+import { defaultSchedulingSettings } from "../../../src/core/scheduling/schedulingPolicy.js";
 import type { EndpointPort } from "../../../src/ports/forwardingPorts.js";
 import { PassEngine } from "../../../src/standins/passEngine.js";
 import { type EngineProfile, PlacementPolicy } from "../../../src/types/routing.js";
@@ -189,6 +190,7 @@
             repeats: { share: 0.2, windowSeconds: 10, extra: 100 },
             cold: { factor: 1.5, extra: 5 },
             placement: { policy: PlacementPolicy.Predicted, shared: true },
+            scheduling: defaultSchedulingSettings,
             stop: { graceSeconds: options.graceSeconds ?? 4 },
             log: { level: LogLevel.Info },
         };
--- a/src/adapters/forwarding/entrySettings.ts
+++ b/src/adapters/forwarding/entrySettings.ts
@@ -1,5 +1,6 @@
 /** Schema of the INI settings file of a forwarding entry. */
 import * as z from "zod";
+import { defaultSchedulingSettings, PartSwitch } from "../../core/scheduling/schedulingPolicy.js";
 import { PlacementPolicy } from "../../types/routing.js";
 import { LogLevel } from "../../utils/log.js";
 import { parseNonNegativeNumber } from "../../utils/numbers.js";
@@ -58,6 +59,13 @@
         /** Whether entries share their placements with each other. */
         shared: setting.flag().default(true),
     }).default({ policy: PlacementPolicy.Predicted, shared: true }),
+    /** Optional parts of the scheduling; `auto` is on where the configuration or the platform calls for the part. */
+    scheduling: z.strictObject({
+        ranks: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
+        customerShares: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
+        heartbeatDigests: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
+        slowReaders: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
+    }).default(defaultSchedulingSettings),
     stop: z.strictObject({ graceSeconds: numberOrDefault(defaultGraceSeconds) }),
     log: z.strictObject({ level: setting.oneOf(LogLevel).default(LogLevel.Info) }).default({ level: LogLevel.Info }),
 });
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -115,6 +115,7 @@
             quarantineStore: dependencies.quarantineStore,
             policy: settings.placement.policy,
             publishesPlacements: settings.placement.shared,
+            scheduling: () => this.settings.scheduling,
             processors: instance.processors,
             retryLimits: () => {
                 const { share, windowSeconds, extra } = this.settings.repeats;
@@ -436,7 +437,12 @@
             for (const { name, revision, value } of items) {
                 if (value && this.configuration.adopt(value)) {
                     // The field `name` is reserved by bunyan for the name of the entry.
-                    this.log.info("A configuration is in force.", { object: name, revision, version: value.version });
+                    this.log.info("A configuration is in force.", {
+                        object: name,
+                        revision,
+                        version: value.version,
+                        customersWithPriority: countCustomersByPriority(value),
+                    });
                 }
             }
         };
@@ -446,3 +452,14 @@
         };
     }
 }
+
+/** Number of customers by their own priority, for operators; customers without one are left out. */
+const countCustomersByPriority = ({ customers = [] }: RoutingConfiguration): Record<number, number> => {
+    const counts: Record<number, number> = {};
+    for (const { priority } of customers) {
+        if (priority !== undefined) {
+            counts[priority] = (counts[priority] ?? 0) + 1;
+        }
+    }
+    return counts;
+};
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -24,6 +24,7 @@
     yielding: z.boolean(),
     firstEventIn: z.number().optional(),
     endsIn: z.number(),
+    customer: z.string().optional(),
 });
 
 const workPartSchema = z.tuple([z.string(), z.enum(WorkPart), z.number()]);
@@ -100,6 +101,9 @@
     cold: z.array(z.string()),
     spent: z.array(z.string()),
     without: z.string().optional(),
+    rank: z.number().optional(),
+    customer: z.string().optional(),
+    age: z.number().optional(),
 });
 const placementSchema = z.object({
     endpoint: z.string(),
--- a/src/commands/replay.ts
+++ b/src/commands/replay.ts
@@ -2,6 +2,7 @@
 import { Args, Flags } from "@oclif/core";
 import { writeFileSync } from "node:fs";
 import path from "node:path";
+import { PartSwitch, type SchedulingSettings } from "../core/scheduling/schedulingPolicy.js";
 import { readPattern } from "../replay/pattern.js";
 import { replay, type ReplayOptions, type ReplayResult } from "../replay/replay.js";
 import { drawReplaySvg } from "../replay/replayPlot.js";
@@ -14,14 +15,25 @@
     LeastOutstanding = "leastOutstanding",
     /** Entries don't publish their placements to one another. */
     UnsharedLoads = "ownView",
+    /** All optional parts of the scheduling are off. */
+    WithoutScheduling = "withoutScheduling",
 }
 
+const withoutScheduling: SchedulingSettings = {
+    ranks: PartSwitch.Off,
+    customerShares: PartSwitch.Off,
+    heartbeatDigests: PartSwitch.Off,
+    slowReaders: PartSwitch.Off,
+};
+
 const createBaselineOptions = (baseline: Baseline): Partial<ReplayOptions> => {
     switch (baseline) {
         case Baseline.LeastOutstanding:
             return { policy: PlacementPolicy.LeastOutstanding };
         case Baseline.UnsharedLoads:
             return { sharesLoads: false };
+        case Baseline.WithoutScheduling:
+            return { scheduling: withoutScheduling };
     }
 };
 
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -43,6 +43,7 @@
 import { type PauseAnnouncer, RelayingEndpointPort } from "./reachability/relayingEndpointPort.js";
 import { RelayingMemoryPort } from "./reachability/relayingMemoryPort.js";
 import { Relays } from "./reachability/relays.js";
+import { SchedulingPolicy, type SchedulingSettings } from "./scheduling/schedulingPolicy.js";
 
 export interface EntryCoreDependencies {
     clock: Clock;
@@ -57,6 +58,8 @@
     policy: PlacementPolicy;
     /** Whether entries publish their placements to one another. */
     publishesPlacements: boolean;
+    /** Which optional parts of the scheduling are on. */
+    scheduling: () => SchedulingSettings;
     /** Number of processor cores of this entry's instance. */
     processors?: number;
     retryLimits: () => RetryLimits;
@@ -92,6 +95,7 @@
     /** Admits connections that this entry carries for others. */
     readonly relayGuard: RelayGuard;
     readonly forwarder: Forwarder;
+    readonly schedulingPolicy: SchedulingPolicy;
     private readonly loans: AllowanceLoans;
     private readonly failures: FailureTracker;
     private readonly placementClient: PlacementClient;
@@ -105,6 +109,10 @@
         this.id = self.id;
         this.address = self.address;
         this.dataCentre = dataCentre;
+        this.schedulingPolicy = new SchedulingPolicy({
+            settings: dependencies.scheduling,
+            configuration: () => this.configuration.routes?.configuration,
+        });
         this.directory = new EndpointDirectory(clock, log("directory"));
         this.failures = new FailureTracker(clock, log("failures"), self.id);
         this.loads = new SharedLoadEstimator(new LoadEstimator(clock, endpoint => this.engineOf(endpoint)), clock);
@@ -250,6 +258,7 @@
             }),
             memoryPort: new RelayingMemoryPort(dependencies.memoryPort, this.links, relays),
             placementClient: this.placementClient,
+            schedulingPolicy: this.schedulingPolicy,
             loadEstimator: this.loads,
             failureTracker: this.failures,
             lossReports: new LossReports(checker, this.failures),
--- a/src/core/forwarding/endpointSearch.ts
+++ b/src/core/forwarding/endpointSearch.ts
@@ -57,7 +57,8 @@
 
     /** The request with its current requirements, as the placement client expects it. */
     get placementRequest(): PlacementRequest {
-        const { route, service, deadline } = this.progress.admission;
+        const { route, service, customer, deadline } = this.progress.admission;
+        const { schedulingPolicy } = this.progress.dependencies;
         const requirements = {
             service,
             promptTokens: this.progress.request.size?.promptTokens ?? 0,
@@ -66,12 +67,15 @@
             targetGap: route.targetGap,
             targetLeft: route.targetLatency - this.progress.timeSinceArrival,
             patienceLeft: this.progress.patienceLeft,
+            rank: schedulingPolicy.rankOf(route, service.name),
+            customer: customer?.name,
             dataCentre: this.progress.dependencies.dataCentre,
             failedEndpoints: this.progress.attempts.brokenEndpoints,
             rejectedEndpoints: this.progress.attempts.refusedEndpoints,
             endpointsWithoutMemory: this.progress.attempts.endpointsWithoutMemory,
         };
-        return { id: this.progress.request.id, requirements, endsBy: deadline };
+        const { id, arrivedAt } = this.progress.request;
+        return { id, requirements, arrivedAt, endsBy: deadline };
     }
 
     /** When the caller of a request that an endpoint refused should return. */
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -22,6 +22,7 @@
 import type { EndedProcesses } from "../reachability/endedProcesses.js";
 import type { EndpointChecker } from "../reachability/endpointChecker.js";
 import type { LossReports } from "../reachability/lossReports.js";
+import type { SchedulingPolicy } from "../scheduling/schedulingPolicy.js";
 
 /** A planned stop of this entry. Times are on the local clock. */
 export interface PlannedStop {
@@ -40,6 +41,7 @@
     endpointPort: Pick<EndpointPort, "send">;
     memoryPort: MemoryPort;
     placementClient: PlacementClient;
+    schedulingPolicy: SchedulingPolicy;
     loadEstimator: SharedLoadEstimator;
     failureTracker: FailureTracker;
     lossReports: LossReports;
--- a/src/core/membership/workSerialization.ts
+++ b/src/core/membership/workSerialization.ts
@@ -20,7 +20,7 @@
 };
 
 const serializePlacement = (works: readonly PlacedWork[], now: Milliseconds): PeerUpdate => {
-    const { id, owner, readTokens, readTime, targetGap, value, yielding, firstEventIn, endsBy } = works[0]!;
+    const { id, owner, readTokens, readTime, targetGap, value, yielding, firstEventIn, customer, endsBy } = works[0]!;
     return {
         type: "Placed",
         work: {
@@ -32,6 +32,7 @@
             value,
             yielding,
             firstEventIn: firstEventIn === undefined ? undefined : Math.round(firstEventIn),
+            customer,
             endsIn: Math.round(endsBy - now),
         },
         parts: works.map(work => [work.endpoint, work.part, work.contextTokens]),
--- a/src/core/placement/endpointSelector.ts
+++ b/src/core/placement/endpointSelector.ts
@@ -81,6 +81,10 @@
     targetLeft: Milliseconds;
     /** Remaining time until the caller gives up waiting for the first event. */
     patienceLeft: Milliseconds;
+    /** Rank of the request among the kinds of its service, 0 for the most urgent; 0 where kinds have no ranks. */
+    rank?: number;
+    /** Customer that sends the request; undefined where callers need no keys. */
+    customer?: string;
     /** Data centre of this entry. */
     dataCentre: string;
     /** Endpoints that broke off an earlier attempt of this request; used only when there is no other. */
--- a/src/core/placement/engineEstimate.ts
+++ b/src/core/placement/engineEstimate.ts
@@ -40,6 +40,8 @@
     part: WorkPart;
     /** Predicted time to the first event; undefined where it depends on other endpoints too. */
     firstEventIn: Milliseconds | undefined;
+    /** Customer that sent the request. Missing where callers need no keys, and in messages of earlier versions. */
+    customer?: string;
     /** Time by which the work has ended at the latest. */
     endsBy: Milliseconds;
 }
--- a/src/core/placement/placementClient.ts
+++ b/src/core/placement/placementClient.ts
@@ -63,7 +63,8 @@
 export interface PlacementRequest {
     id: string;
     requirements: PlacementRequirements;
-    /** Time by which the request has ended at the latest. */
+    /** When the request arrived, and by when it has ended at the latest. */
+    arrivedAt: Milliseconds;
     endsBy: Milliseconds;
 }
 
@@ -164,10 +165,10 @@
         if (placement.postponed) {
             return placement;
         }
-        const { id, endsBy, requirements: { promptTokens, targetGap } } = request;
+        const { id, endsBy, requirements: { promptTokens, targetGap, customer } } = request;
         const { loads, entry } = this.dependencies;
         loads.recordPlaced(
-            workOfPlacement(placement, { id, owner: entry, promptTokens, targetGap, endsBy }),
+            workOfPlacement(placement, { id, owner: entry, promptTokens, targetGap, customer, endsBy }),
             isKnownToPeers,
         );
         return { ...placement, recorded: true };
@@ -257,6 +258,7 @@
             lacking: [...endpointsWithoutMemory],
             cold: [...allowedCold],
             spent: [...exhausted],
+            age: now - request.arrivedAt,
             endsIn: request.endsBy - now,
             without: excludedEndpoint,
         };
--- a/src/core/placement/placementQuestion.ts
+++ b/src/core/placement/placementQuestion.ts
@@ -20,6 +20,8 @@
     cold: string[];
     /** Endpoints that accept no request from the asking entry now: it has used up its share, or they asked it for a pause. */
     spent: string[];
+    /** Time since the request arrived. Missing in messages of earlier versions, as are the rank and the customer. */
+    age?: Milliseconds;
     /** Time until the request has ended at the latest. */
     endsIn: Milliseconds;
     /** An endpoint that has been unresponsive for long: the placer does not choose it, and records no placement. */
--- a/src/core/placement/placementServer.ts
+++ b/src/core/placement/placementServer.ts
@@ -32,7 +32,7 @@
      */
     answer(owner: string, question: PlacementQuestion): PlacementAnswer {
         const { clock, loads, selector, routes, dataCentre, isPlacer } = this.dependencies;
-        const { serial, without, requestId, promptTokens, targetGap, endsIn } = question;
+        const { serial, without, requestId, promptTokens, targetGap, customer, endsIn } = question;
         const service = routes()?.service(question.service);
         if (!service || !isPlacer()) {
             return { type: "Declined", serial };
@@ -51,7 +51,9 @@
         }
         if (without === undefined && !placement.postponed) {
             const endsBy = clock.now() + endsIn;
-            loads.recordPlaced(workOfPlacement(placement, { id: requestId, owner, promptTokens, targetGap, endsBy }));
+            loads.recordPlaced(
+                workOfPlacement(placement, { id: requestId, owner, promptTokens, targetGap, customer, endsBy }),
+            );
         }
         return {
             type: "Chosen",
--- a/src/core/placement/placementWork.ts
+++ b/src/core/placement/placementWork.ts
@@ -11,12 +11,13 @@
     owner: string;
     promptTokens: number;
     targetGap: Milliseconds | undefined;
+    customer?: string;
     endsBy: Milliseconds;
 }
 
 /** Returns the work at the main endpoint, and at the helpers that prefill or hold parts for it. */
 export const workOfPlacement = (placement: Placement, request: PlacedRequest): PlacedWork[] => {
-    const { id, owner, promptTokens, targetGap, endsBy } = request;
+    const { id, owner, promptTokens, targetGap, customer, endsBy } = request;
     const heldTokensByEndpoint = new Map(placement.shares.map(({ endpoint, tokens }) => [endpoint.record.id, tokens]));
     const commonFields = {
         id,
@@ -27,6 +28,7 @@
         value: requestValue(promptTokens),
         yielding: placement.yields,
         firstEventIn: placement.helpers.length === 0 ? placement.firstEvent : undefined,
+        customer,
         endsBy,
     };
     const mainWork = {
--- a/src/replay/pattern.ts
+++ b/src/replay/pattern.ts
@@ -74,6 +74,8 @@
     timeout: nonNegativeNumber(),
     /** Largest number of endpoints that one request may be sent to. */
     attempts: setting.wholeNumber(1).prefault("2"),
+    /** Priority of the kind's route, 0 for the most urgent; kinds with different priorities are ranked. */
+    priority: setting.wholeNumber().prefault("1"),
     /** Parts of the prompts that requests share, in order, separated by commas, and the share of the requests that have them. */
     parts: partList(),
     partsShare: ratio().prefault("1"),
--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -1,5 +1,6 @@
 /** Replays a load pattern through the production code of the entries, in simulated time and without sockets. */
 import type { EntryCore } from "../core/entryCore.js";
+import type { SchedulingSettings } from "../core/scheduling/schedulingPolicy.js";
 import {
     type Customer,
     PlacementPolicy,
@@ -48,6 +49,8 @@
     policy?: PlacementPolicy;
     /** Whether entries publish their placements to one another. */
     sharesLoads?: boolean;
+    /** Optional parts of the scheduling that differ from the default. */
+    scheduling?: Partial<SchedulingSettings>;
 }
 
 /** Result of a replay. */
@@ -97,6 +100,7 @@
             dataCentres,
             policy: options.policy ?? PlacementPolicy.Predicted,
             sharesLoads: options.sharesLoads ?? true,
+            scheduling: options.scheduling,
             delay,
             loss,
             lines: this.lines,
@@ -349,7 +353,7 @@
         targetLatency: kind.target,
         targetGap: kind.targetGap,
         attempts: kind.attempts,
-        priority: 1,
+        priority: kind.priority,
         shares: [{ service: replayServiceName, weight: 1 }],
         open: pattern.pattern.customers === 0,
         resumable: true,
--- a/src/replay/simulatedEntries.ts
+++ b/src/replay/simulatedEntries.ts
@@ -1,5 +1,6 @@
 /** The entries of a replay: the production code of `EntryCore`, with messages in simulated time instead of sockets. */
 import { EntryCore } from "../core/entryCore.js";
+import { defaultSchedulingSettings, type SchedulingSettings } from "../core/scheduling/schedulingPolicy.js";
 import type { PeerChannelPort, PeerIdentity, PeerPacket } from "../ports/peerChannelPort.js";
 import { StateKind } from "../ports/statePort.js";
 import type { EndpointRecord, PlacementPolicy, RoutingConfiguration } from "../types/routing.js";
@@ -28,6 +29,8 @@
     policy: PlacementPolicy;
     /** Whether entries publish their placements to one another. */
     sharesLoads: boolean;
+    /** Optional parts of the scheduling that differ from the default. */
+    scheduling?: Partial<SchedulingSettings>;
     /** One-way network delay between two instances, and the share of the datagrams that is lost. */
     delay: Milliseconds;
     loss: number;
@@ -104,7 +107,7 @@
     }
 
     private startEntry(self: PeerIdentity, dataCentre: string): EntryCore {
-        const { clock, random, fleet, policy, sharesLoads } = this.options;
+        const { clock, random, fleet, policy, sharesLoads, scheduling } = this.options;
         const entry = new EntryCore({
             clock,
             random,
@@ -117,6 +120,7 @@
             quarantineStore: this.quarantineStore,
             policy,
             publishesPlacements: sharesLoads,
+            scheduling: () => ({ ...defaultSchedulingSettings, ...scheduling }),
             retryLimits: () => retryLimits,
             coldLimits: () => coldStartLimits,
             knownRevisions: () => ({ [StateKind.Endpoints]: this.revision }),
