Placers tell who lives: digests in place of heartbeats to all

Change: entries send heartbeats to the placers of their data centre only, as long as these confirm them by digests: a version of the placer's list and its last changes, whole lists fetched over HTTP. A placer believes its own ears about its data centre and the other placers about theirs. Placers' ages of store reads cover what others read. On with [scheduling] heartbeatDigests, where there are placers.

--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -51,6 +51,8 @@
 /** Maximum number of peers that an entry asks for the work in progress, and the timeout for each; some may have failed. */
 const maximumWorkQueries = 3;
 const workQueryTimeout: Milliseconds = 300;
+/** Timeout for a placer's list of the living entries. */
+const memberListTimeout: Milliseconds = 400;
 /** Timeout for telling another entry of an endpoint's pause. */
 const pauseAnnouncementTimeout: Milliseconds = 300;
 /** How often an entry checks whether it has become a placer: at short intervals during startup, at longer ones afterwards. */
@@ -127,6 +129,7 @@
             isFirstStart: settings.peers.firstStart,
             isStoreReachable: () => Object.values(this.followers).every(({ isStoreReachable }) => isStoreReachable),
             plannedStop: () => this.plannedStop,
+            fetchMembers: (address, scope) => this.peerStateClient.fetchMembers(address, scope, memberListTimeout),
             announcePause: ({ address }, { id, incarnation }, duration) => {
                 const pause = { endpoint: id, incarnation, duration };
                 void this.peerStateClient.announcePause(address, pause, pauseAnnouncementTimeout);
@@ -295,6 +298,7 @@
         workInProgress: () => this.core.loads.inProgress(),
         recordPause: ({ endpoint, incarnation, duration }) =>
             this.core.pauses.record({ id: endpoint, incarnation }, duration),
+        listMembers: scope => this.core.peers.listMembers(scope),
         stateVersion: () => Object.values(this.followers).map(({ mirror }) => mirror.revision).join(","),
     };
 
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -2,6 +2,7 @@
 import { JSONRPCClient, type JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
 import dgram from "node:dgram";
 import * as z from "zod";
+import { DigestScope } from "../../core/membership/memberDigest.js";
 import { WorkPart } from "../../core/placement/engineEstimate.js";
 import { SendResult } from "../../core/placement/failureTracker.js";
 import { type PeerChannelPort, type PeerPacket, RelayScope } from "../../ports/peerChannelPort.js";
@@ -9,6 +10,7 @@
 import { splitAddress } from "../../utils/address.js";
 import { describeError } from "../../utils/errors.js";
 import type { PartLog } from "../../utils/log.js";
+import { memberStateSchema } from "./memberSchema.js";
 
 const updateMethod = "news";
 /** Size limit of a datagram. A larger one would be split in transit, and lost when any fragment is. */
@@ -70,6 +72,14 @@
     })).optional(),
     crashNews: crashNewsSchema.optional(),
     reachesEndpoints: z.boolean().optional(),
+    usesDigests: z.boolean().optional(),
+    digest: z.object({
+        scope: z.enum(DigestScope),
+        version: z.number(),
+        base: z.number(),
+        changed: z.array(memberStateSchema),
+        removed: z.array(z.string()),
+    }).optional(),
 });
 const stateDeltaSchema = z.object({
     kind: z.enum(StateKind),
--- a/src/adapters/forwarding/peerStateServer.ts
+++ b/src/adapters/forwarding/peerStateServer.ts
@@ -6,6 +6,7 @@
 import { constants, gzipSync } from "node:zlib";
 import * as z from "zod";
 import type { StateUpdate } from "../../core/configuration/stateMirror.js";
+import { DigestScope, type MemberList } from "../../core/membership/memberDigest.js";
 import { WorkPart } from "../../core/placement/engineEstimate.js";
 import { type WorkInProgress } from "../../core/placement/loadEstimator.js";
 import type { PeerStatePort } from "../../ports/peerStatePort.js";
@@ -16,10 +17,12 @@
 import { readBody, requestJson } from "../../utils/httpClient.js";
 import { listen, type Listener, sendJson } from "../../utils/httpServer.js";
 import type { PartLog } from "../../utils/log.js";
+import { memberStateSchema } from "./memberSchema.js";
 
 const stateMethod = "stateSince";
 const workInProgressMethod = "loadsInProgress";
 const pauseMethod = "endpointPaused";
+const membersMethod = "members";
 /** Version of the message format, raised with each incompatible change. Messages of another version are rejected. */
 const formatVersion = 1;
 const maximumQueryBytes = 4_096;
@@ -31,6 +34,8 @@
     incarnation: z.number(),
     duration: z.number(),
 });
+const memberQuerySchema = z.object({ format: z.literal(formatVersion), scope: z.enum(DigestScope) });
+const memberListSchema = z.object({ version: z.number(), members: z.array(memberStateSchema) });
 const itemSchema = z.object({ name: z.string(), revision: z.number(), value: z.unknown() });
 const stateUpdateSchema = z.discriminatedUnion("type", [
     z.object({
@@ -71,6 +76,8 @@
     workInProgress(): WorkInProgress[];
     /** Records that an endpoint asked this entry for a pause, by a response that this entry carried for another one. */
     recordPause(pause: EndpointPause): void;
+    /** The living entries by this entry's list. */
+    listMembers(scope: DigestScope): MemberList;
     /** A version that changes whenever the result of {@link stateSince} may change. */
     stateVersion(): string;
 }
@@ -80,6 +87,8 @@
 /** Number of cached compressed responses. After a change dozens of entries send the same query. */
 const maximumCachedResponses = 8;
 
+const compressText = (text: string): Buffer => gzipSync(text, { level: constants.Z_BEST_SPEED });
+
 /** Cache of compressed responses by state version and query. */
 class CompressedResponseCache {
     private readonly compressedByKey = new Map<string, Buffer>();
@@ -91,7 +100,7 @@
         if (cached) {
             return cached;
         }
-        const compressed = gzipSync(text, { level: constants.Z_BEST_SPEED });
+        const compressed = compressText(text);
         this.compressedByKey.set(key, compressed);
         for (const oldest of this.compressedByKey.keys()) {
             if (this.compressedByKey.size <= maximumCachedResponses) {
@@ -116,16 +125,21 @@
         source.recordPause(pauseSchema.parse(parameters));
         return {};
     });
+    server.addMethod(membersMethod, parameters => source.listMembers(memberQuerySchema.parse(parameters).scope));
     return listen(address, async (request, response) => {
         try {
             const query = (await readBody(request, maximumQueryBytes)).toString("utf8");
-            const reply = JSON.stringify(await server.receive(JSON.parse(query) as JSONRPCRequest));
+            const rpcRequest = JSON.parse(query) as JSONRPCRequest;
+            const reply = JSON.stringify(await server.receive(rpcRequest));
             const headers = { "content-type": "application/json" };
             if (reply.length <= compressionThresholdBytes) {
                 response.writeHead(200, headers).end(reply);
                 return;
             }
-            const bytes = compressedResponses.compress(query, source.stateVersion(), reply);
+            // Only stored objects have a version; the work in progress and the members differ from query to query.
+            const bytes = rpcRequest.method === stateMethod
+                ? compressedResponses.compress(query, source.stateVersion(), reply)
+                : compressText(reply);
             response.writeHead(200, { ...headers, "content-encoding": "gzip", "content-length": bytes.length }).end(
                 bytes,
             );
@@ -160,6 +174,13 @@
             : undefined;
     }
 
+    /** Fetches the living entries by the list of the entry at `address`. */
+    async fetchMembers(address: string, scope: DigestScope, timeout: Milliseconds): Promise<MemberList | undefined> {
+        const query = { format: formatVersion, scope };
+        const response = memberListSchema.safeParse(await this.call(address, membersMethod, query, timeout));
+        return response.success ? response.data : undefined;
+    }
+
     /** Tells the entry at `address` of a pause. */
     async announcePause(address: string, pause: EndpointPause, timeout: Milliseconds): Promise<void> {
         await this.call(address, pauseMethod, { format: formatVersion, ...pause }, timeout);
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -20,6 +20,7 @@
 import type { PlannedStop } from "./forwarding/forwardingDependencies.js";
 import { EndpointDirectory } from "./membership/endpointDirectory.js";
 import { EndpointReports } from "./membership/endpointReports.js";
+import type { DigestScope, MemberList } from "./membership/memberDigest.js";
 import { Membership } from "./membership/membership.js";
 import { Peers } from "./membership/peers.js";
 import { ReportedStates } from "./membership/reportedStates.js";
@@ -74,6 +75,8 @@
     isStoreReachable: () => boolean;
     /** The planned stop; undefined while this entry isn't stopping. */
     plannedStop: () => PlannedStop | undefined;
+    /** Fetches the list of living entries of the placer at `address`. */
+    fetchMembers: (address: string, scope: DigestScope) => Promise<MemberList | undefined>;
     /** Tells another entry that an endpoint asked it for a pause. */
     announcePause: PauseAnnouncer;
 }
@@ -141,6 +144,9 @@
             crashNews: () => this.quarantine.snapshot(),
             onCrashNews: (from, news) => this.quarantine.merge(from, news),
             reachesEndpoints: () => !this.links.isCutOff,
+            usesDigests: () => this.schedulingPolicy.usesHeartbeatDigests(true),
+            fetchMembers: dependencies.fetchMembers,
+            onMembersFetched: () => this.metrics.count("member_lists_fetched_total"),
             onOutcome: (from, endpoint, fate) => this.applyPeerOutcome(from, endpoint, fate),
             onPlacementAsked: (from, question) => placementServer.answer(from, question),
             onPlacementAnswered: answer => this.placementClient.receiveAnswer(answer),
--- a/src/core/membership/heartbeatSender.ts
+++ b/src/core/membership/heartbeatSender.ts
@@ -7,6 +7,7 @@
  */
 import type { PeerStatus, PeerUpdate } from "../../ports/peerChannelPort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
+import { DigestScope, type MemberDigest } from "./memberDigest.js";
 import type { PeerRegistry } from "./peerRegistry.js";
 import type { PlacerSet } from "./placers.js";
 import type { UpdateSender } from "./updateSender.js";
@@ -40,6 +41,18 @@
     activeRequestIds: () => string[];
     /** This entry's status, with the time until its next heartbeat. */
     status: (nextIn: Milliseconds) => PeerStatus;
+    /** Whether the others learn by digests that this entry lives. */
+    isCoveredByDigests: () => boolean;
+    /** The digest for a placer's heartbeat; undefined where there are none. */
+    createDigest: (scope: DigestScope) => MemberDigest | undefined;
+}
+
+/** Addresses that get each heartbeat directly. */
+interface DependentAddresses {
+    /** The entries of this data centre that a placer places for, or the placers that this entry asks. */
+    ownDataCentre: readonly string[];
+    /** The other placers, for a placer. */
+    others: readonly string[];
 }
 
 /** Sends this entry's heartbeats. */
@@ -62,10 +75,13 @@
             sender.sendToAll(this.createHeartbeat(interval, activeRequestIds()));
             return interval;
         }
-        sender.sendToOwnGroup(this.createHeartbeat(interval, everyone ? activeRequestIds() : undefined), 0);
         if (!everyone) {
-            sender.sendTo(this.dependentAddresses(), [this.createHeartbeat(interval, activeRequestIds())]);
+            this.sendToDependents(interval, activeRequestIds());
+            if (this.areDigestsEnough(interval)) {
+                return interval;
+            }
         }
+        sender.sendToOwnGroup(this.createHeartbeat(interval, everyone ? activeRequestIds() : undefined), 0);
         const { remoteInterval } = this;
         if (isWatcher || clock.now() - this.remoteHeartbeatAt >= remoteInterval - interval / 2) {
             this.remoteHeartbeatAt = clock.now();
@@ -80,7 +96,8 @@
         const status = this.createHeartbeat(this.lastInterval, undefined);
         sender.sendToOwnGroup(status, 0);
         if (!placers().everyone) {
-            sender.sendTo(this.dependentAddresses(), [status]);
+            const { others, ownDataCentre } = this.dependentAddresses();
+            sender.sendTo([...new Set([...ownDataCentre, ...others])], [status]);
         }
         sender.sendToOtherGroups(this.createHeartbeat(this.remoteInterval, undefined), 0);
     }
@@ -96,8 +113,44 @@
     createHeartbeat(
         nextIn = heartbeatInterval,
         inProgress: string[] | undefined = this.dependencies.activeRequestIds(),
+        digest?: MemberDigest,
     ): PeerUpdate {
-        return { type: "Alive", inProgress, status: this.dependencies.status(nextIn) };
+        return { type: "Alive", inProgress, status: { ...this.dependencies.status(nextIn), digest } };
+    }
+
+    /**
+     * Whether the placers make this heartbeat known to all. What endpoints reported to this entry, and what it knows of crashes,
+     * is told to all entries directly as long as it is news, because a digest doesn't hold it.
+     */
+    private areDigestsEnough(interval: Milliseconds): boolean {
+        if (!this.dependencies.isCoveredByDigests()) {
+            return false;
+        }
+        const { limits, reportedStates = [], crashNews } = this.dependencies.status(interval);
+        return limits.length + reportedStates.length === 0 && crashNews === undefined;
+    }
+
+    /** Sends a heartbeat with the requests in progress to the entries that depend on it, from a placer with a digest. */
+    private sendToDependents(interval: Milliseconds, inProgress: string[]): void {
+        const { sender, createDigest } = this.dependencies;
+        const { ownDataCentre, others } = this.dependentAddresses();
+        const send = (addresses: readonly string[], scope: DigestScope) => {
+            if (addresses.length > 0) {
+                sender.sendTo(addresses, [this.createHeartbeat(interval, inProgress, createDigest(scope))]);
+            }
+        };
+        send(ownDataCentre, DigestScope.All);
+        send(others, DigestScope.DataCentre);
+        this.probeUnresponsive(interval);
+    }
+
+    /** As a placer, sends heartbeats to entries that don't seem to live, so that both sides of a partition find one another. */
+    private probeUnresponsive(interval: Milliseconds): void {
+        const { sender, registry, placers, isCoveredByDigests } = this.dependencies;
+        const unresponsive = registry.unresponsiveAddresses();
+        if (placers().self && isCoveredByDigests() && unresponsive.length > 0) {
+            sender.sendTo(unresponsive, [this.createHeartbeat(interval, undefined)]);
+        }
     }
 
     /**
@@ -105,18 +158,16 @@
      * inform the other placers of ended work. A placer sends its heartbeats to all entries that it places for and to the
      * other placers.
      */
-    private dependentAddresses(): string[] {
+    private dependentAddresses(): DependentAddresses {
         const { dataCentre, registry } = this.dependencies;
         const { self, others } = this.dependencies.placers();
         if (!self) {
-            return others.filter(placer => placer.dataCentre === dataCentre).map(({ address }) => address);
+            const placers = others.filter(placer => placer.dataCentre === dataCentre);
+            return { ownDataCentre: placers.map(({ address }) => address), others: [] };
         }
-        const sameDataCentre = registry.living().filter(peer => peer.dataCentre === dataCentre);
-        return [
-            ...new Set([
-                ...sameDataCentre.map(({ identity }) => identity.address),
-                ...others.map(({ address }) => address),
-            ]),
-        ];
+        const placerAddresses = new Set(others.map(({ address }) => address));
+        const ownDataCentre = registry.living().filter(peer => peer.dataCentre === dataCentre)
+            .map(({ identity }) => identity.address).filter(address => !placerAddresses.has(address));
+        return { ownDataCentre, others: [...placerAddresses] };
     }
 }
--- a/src/core/membership/peerRegistry.ts
+++ b/src/core/membership/peerRegistry.ts
@@ -3,6 +3,7 @@
 import { StateKind } from "../../ports/statePort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
+import type { MemberState } from "./memberDigest.js";
 
 /** Consecutive missed heartbeats after which an entry no longer counts as living; fewer for entries with a long interval. */
 const missedHeartbeatLimit = 4;
@@ -20,6 +21,12 @@
 const lostTimeout: Milliseconds = 120_000;
 /** How long the living entries are cached, since filtering hundreds of entries would cost more than handling a request. */
 const livingCacheDuration: Milliseconds = 50;
+/**
+ * How long a placer's confirmation holds: longer than another entry needs to take the place of a placer that has failed, so that
+ * no entry loses its view of the site meanwhile. As a sign that an entry is fresh it holds for a few of the placer's heartbeats.
+ */
+const confirmationDuration: Milliseconds = 4_500;
+const freshConfirmationDuration: Milliseconds = 1_500;
 /** Number of entry names in one log line. */
 const maximumLoggedNames = 12;
 
@@ -52,6 +59,8 @@
     places: boolean;
     /** Whether it can connect to endpoints. */
     reachesEndpoints: boolean;
+    /** Whether it sends and understands digests of the living entries. */
+    usesDigests: boolean;
 }
 
 /** What an entry's new status changes. */
@@ -64,6 +73,8 @@
 
 interface Peer extends LivingPeer {
     receivedAt: Milliseconds;
+    /** When a placer last confirmed that it lives. */
+    confirmedAt: Milliseconds;
     /** When it was last listed or received from. */
     lastSeenAt: Milliseconds;
     firstSeenAt: Milliseconds;
@@ -99,8 +110,10 @@
     /** Whether the entry's latest heartbeats arrived. After two missed heartbeats it may have failed. */
     isFresh({ identity: { id } }: LivingPeer): boolean {
         const peer = this.peers.get(id);
+        const now = this.clock.now();
         return peer !== undefined
-            && this.clock.now() - peer.receivedAt < freshHeartbeatLimit * peer.signInterval + heartbeatSlack;
+            && (now - peer.receivedAt < freshHeartbeatLimit * peer.signInterval + heartbeatSlack
+                || now - peer.confirmedAt < freshConfirmationDuration);
     }
 
     /** Changes whenever the set of known entries or their reported state changes. */
@@ -141,8 +154,8 @@
     lostEntries(): string[] {
         const now = this.clock.now();
         const lost: string[] = [];
-        for (const [id, { receivedAt, firstSeenAt, isListed }] of this.peers) {
-            if (isListed && now - Math.max(receivedAt, firstSeenAt) >= lostTimeout) {
+        for (const [id, { receivedAt, confirmedAt, firstSeenAt, isListed }] of this.peers) {
+            if (isListed && now - Math.max(receivedAt, confirmedAt, firstSeenAt) >= lostTimeout) {
                 lost.push(id);
             }
         }
@@ -193,6 +206,52 @@
         return wasReceivedBefore ? Contact.Restarted : Contact.New;
     }
 
+    /**
+     * Records that a placer has confirmed these entries; returns whether that changes which entries live, or what they can do. A
+     * process of which this entry hears itself is not replaced by an earlier one that the placer still lists.
+     */
+    confirmMembers(members: Iterable<MemberState>): boolean {
+        const now = this.clock.now();
+        let hasChanged = false;
+        for (const member of members) {
+            if (member.id !== this.self.id) {
+                hasChanged = this.confirmMember(member, now) || hasChanged;
+            }
+        }
+        if (hasChanged) {
+            this.markChanged();
+        }
+        return hasChanged;
+    }
+
+    /** Records that no placer confirms these entries any more. Those that this entry hears of itself stay alive. */
+    endConfirmation(ids: Iterable<string>): void {
+        for (const id of ids) {
+            const peer = this.peers.get(id);
+            if (peer) {
+                peer.confirmedAt = -Infinity;
+            }
+        }
+        this.markChanged();
+    }
+
+    private confirmMember({ id, address, incarnation, ...state }: MemberState, now: Milliseconds): boolean {
+        const known = this.peers.get(id);
+        if (known?.identity.incarnation === incarnation) {
+            const hasChanged = !isLiving(known, now) || known.places !== state.places || known.reads !== state.reads
+                || known.reachesEndpoints !== state.reachesEndpoints || known.usesDigests !== state.usesDigests;
+            Object.assign(known, state, { confirmedAt: now, lastSeenAt: now });
+            return hasChanged && !known.isStopping;
+        }
+        if (known && isLiving(known, now)) {
+            return false;
+        }
+        const peer = newPeer({ id, address, incarnation }, now, -Infinity, known?.isListed ?? false);
+        this.peers.set(id, Object.assign(peer, state, { confirmedAt: now }));
+        this.newEntries.push(id);
+        return true;
+    }
+
     /** Merges an entry's status. */
     mergeStatus(id: string, state: Partial<PeerStatus>): StatusChange {
         const peer = this.peers.get(id);
@@ -273,7 +332,9 @@
     processors: 0,
     places: false,
     reachesEndpoints: true,
+    usesDigests: false,
     receivedAt: heardAt,
+    confirmedAt: -Infinity,
     lastSeenAt: now,
     firstSeenAt: now,
     signInterval: defaultHeartbeatInterval,
@@ -281,7 +342,8 @@
     isStopping: false,
 });
 
-const isLiving = ({ receivedAt, isStopping, signInterval }: Peer, now: Milliseconds): boolean => {
+const isLiving = ({ receivedAt, confirmedAt, isStopping, signInterval }: Peer, now: Milliseconds): boolean => {
     const missed = signInterval > rareHeartbeatInterval ? missedRareHeartbeatLimit : missedHeartbeatLimit;
-    return !isStopping && now - receivedAt < missed * signInterval + heartbeatSlack;
+    const isHeard = now - receivedAt < missed * signInterval + heartbeatSlack;
+    return !isStopping && (isHeard || now - confirmedAt < confirmationDuration);
 };
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -17,12 +17,15 @@
     ReportedState,
     StateDelta,
 } from "../../ports/peerChannelPort.js";
+import type { StateKind } from "../../ports/statePort.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
 import { type OutcomeUpdate, SendResult } from "../placement/failureTracker.js";
 import type { PlacementAnswer, PlacementQuestion } from "../placement/placementQuestion.js";
 import type { LoadUpdate, SharedLoadEstimator } from "../placement/sharedLoadEstimator.js";
+import { DigestExchange } from "./digestExchange.js";
 import { HeartbeatSender } from "./heartbeatSender.js";
+import type { DigestScope, MemberList, MemberState } from "./memberDigest.js";
 import { Contact, type LivingPeer, PeerRegistry } from "./peerRegistry.js";
 import { type PlacerCandidate, PlacerRoster, type PlacerSet, receivesAllPlacements } from "./placers.js";
 import {
@@ -40,6 +43,8 @@
 const joinDuration: Milliseconds = 1_000;
 /** Reports of endpoints that arrive within this time are announced together. */
 const reportBatchingDelay: Milliseconds = 20;
+/** Lower than every revision, for a kind that was never read. */
+const noRevision = -1;
 /** Interval at which an entry that starts checks whether it is able to choose endpoints. */
 const readinessPollInterval: Milliseconds = 50;
 
@@ -78,6 +83,10 @@
     onCrashNews?: (from: string, news: CrashNews) => void;
     /** Whether this entry can connect to endpoints. */
     reachesEndpoints?: () => boolean;
+    /** Whether heartbeats go by way of the placers, where there are some; and how to fetch a placer's list of members. */
+    usesDigests?: () => boolean;
+    fetchMembers?: (address: string, scope: DigestScope) => Promise<MemberList | undefined>;
+    onMembersFetched?: () => void;
     /** Called with the result of another entry's sends to an endpoint. */
     onOutcome?: (from: string, endpoint: string, fate: SendResult) => void;
     /** Called when another entry asks for the placement of a request, and with the answer to this entry's own question. */
@@ -102,12 +111,26 @@
     private readonly sender: UpdateSender;
     private readonly roster: PlacerRoster;
     private readonly heartbeats: HeartbeatSender;
+    private readonly digests: DigestExchange;
 
     constructor(private readonly dependencies: PeersDependencies) {
         const { clock, log, self, channel, dataCentre } = dependencies;
         this.registry = new PeerRegistry(clock, log, self);
         this.roster = new PlacerRoster(clock, () => this.ownCandidacy(), () => this.candidates());
         const placers = () => this.roster.current();
+        this.digests = new DigestExchange({
+            clock,
+            registry: this.registry,
+            dataCentre,
+            isPlacer: () => this.isPlacerAmongOthers,
+            self: () => this.ownMemberState(),
+            fetchMembers: dependencies.fetchMembers ?? (() => Promise.resolve(undefined)),
+            onChange: () => {
+                this.sender.invalidateRecipients();
+                this.roster.invalidate();
+            },
+            onFetch: () => dependencies.onMembersFetched?.(),
+        });
         this.sender = new UpdateSender({ clock, channel, registry: this.registry, self, dataCentre, placers });
         this.heartbeats = new HeartbeatSender({
             clock,
@@ -117,6 +140,9 @@
             placers,
             activeRequestIds: dependencies.activeRequestIds,
             status: nextIn => this.ownStatus(nextIn),
+            isCoveredByDigests: () => this.usesDigests && this.digests.isCovered,
+            createDigest: scope =>
+                this.usesDigests && this.isPlacerAmongOthers ? this.digests.createDigest(scope) : undefined,
         });
         if (dependencies.publishesLoads) {
             dependencies.loads.publish = update => this.publishLoad(update);
@@ -134,6 +160,20 @@
         return hasJoined && receivesAllPlacements(this.roster.current()) ? directPropagationDelay : Infinity;
     }
 
+    /** The living entries by this entry's list, for an entry that follows its digests. */
+    listMembers(scope: DigestScope): MemberList {
+        return this.digests.listMembers(scope);
+    }
+
+    private get usesDigests(): boolean {
+        return this.dependencies.usesDigests?.() ?? false;
+    }
+
+    private get isPlacerAmongOthers(): boolean {
+        const { everyone, self } = this.roster.current();
+        return self && !everyone;
+    }
+
     /** The other living entries. */
     livingPeers(): readonly LivingPeer[] {
         return this.registry.living();
@@ -298,9 +338,12 @@
     private ownStatus(nextIn: Milliseconds): PeerStatus {
         const { knownRevisions, readAges, isStoreReachable, dataCentre } = this.dependencies;
         const { processors, places } = this.ownCandidacy();
+        const usesDigests = this.usesDigests;
+        const known = knownRevisions();
         return {
-            known: knownRevisions(),
-            readAges: readAges(),
+            known,
+            readAges: usesDigests && this.isPlacerAmongOthers ? this.newestReadAges(known, readAges()) : readAges(),
+            usesDigests,
             reads: isStoreReachable(),
             dataCentre,
             signInterval: nextIn,
@@ -313,6 +356,38 @@
         };
     }
 
+    /**
+     * How long ago the store last responded to any entry without a change that this one doesn't know. What this entry knows was
+     * complete at that time, so it holds for whoever knows as much.
+     */
+    private newestReadAges(known: KnownRevisions, ownAges: ReadAges): ReadAges {
+        const now = this.dependencies.clock.now();
+        const ages: ReadAges = { ...ownAges };
+        for (const peer of this.registry.living()) {
+            for (const [kind, readAt] of Object.entries(peer.readAt) as [StateKind, Milliseconds][]) {
+                const revision = known[kind];
+                if (revision !== undefined && (peer.known[kind] ?? noRevision) <= revision) {
+                    ages[kind] = Math.min(ages[kind] ?? Infinity, now - readAt);
+                }
+            }
+        }
+        return ages;
+    }
+
+    private ownMemberState(): MemberState {
+        const { self, isStoreReachable, reachesEndpoints } = this.dependencies;
+        const { dataCentre, processors, places } = this.ownCandidacy();
+        return {
+            ...self,
+            dataCentre,
+            processors,
+            places,
+            reads: isStoreReachable(),
+            reachesEndpoints: reachesEndpoints?.() ?? true,
+            usesDigests: this.usesDigests,
+        };
+    }
+
     private ownCandidacy(): PlacerCandidate {
         const { self, dataCentre, processors = 1, mayPlaceForOthers = () => true } = this.dependencies;
         return { id: self.id, address: self.address, dataCentre, processors, places: mayPlaceForOthers() };
@@ -356,7 +431,7 @@
                 if (update.inProgress) {
                     this.retainWork(from.id, update.inProgress, clock.now() - inProgressSlack);
                 }
-                this.applyStatus(from.id, update.status);
+                this.applyStatus(from, update.status);
                 return;
             case "StoreRead":
                 if (update.change) {
@@ -402,13 +477,20 @@
         }
     }
 
-    private applyStatus(id: string, { limits, reportedStates = [], crashNews, ...status }: PeerStatus): void {
+    private applyStatus(
+        from: PeerIdentity,
+        { limits, reportedStates = [], crashNews, digest, ...status }: PeerStatus,
+    ): void {
+        const { id } = from;
         this.dependencies.onLimits?.(limits);
         this.dependencies.onReportedStates?.(reportedStates);
         if (crashNews) {
             this.dependencies.onCrashNews?.(id, crashNews);
         }
         this.mergeStatus(id, status);
+        if (digest && this.usesDigests) {
+            this.digests.receive(from, status.dataCentre, digest);
+        }
     }
 
     private mergeStatus(id: string, status: Partial<PeerStatus>): void {
--- a/src/ports/peerChannelPort.ts
+++ b/src/ports/peerChannelPort.ts
@@ -1,4 +1,5 @@
 /** The channel between entries, which carries datagrams that may be lost, duplicated, delayed or reordered. */
+import type { MemberDigest } from "../core/membership/memberDigest.js";
 import type { PlacedWork, WorkPart } from "../core/placement/engineEstimate.js";
 import type { OutcomeUpdate } from "../core/placement/failureTracker.js";
 import type { PlacementAnswer, PlacementQuestion } from "../core/placement/placementQuestion.js";
@@ -145,6 +146,10 @@
     crashNews?: CrashNews;
     /** Whether the entry can connect to endpoints. Missing in messages of earlier versions. */
     reachesEndpoints?: boolean;
+    /** Whether the entry sends and understands digests of the living entries. Missing in messages of earlier versions. */
+    usesDigests?: boolean;
+    /** The living entries by a placer's list; only in heartbeats of placers. */
+    digest?: MemberDigest;
 }
 
 /** One update from an entry to its peers. */
--- a/src/replay/simulatedEntries.ts
+++ b/src/replay/simulatedEntries.ts
@@ -128,6 +128,12 @@
             isFirstStart: true,
             isStoreReachable: () => true,
             plannedStop: () => undefined,
+            fetchMembers: async (address, scope) => {
+                await clock.sleep(2 * this.options.delay);
+                return this.isCut(self.address, address)
+                    ? undefined
+                    : this.entryByAddress.get(address)?.peers.listMembers(scope);
+            },
             announcePause: ({ address }, endpoint, duration) => {
                 clock.after(
                     this.options.delay,
