A request's value falls with its rank

Cause: a prompt of 260,000 tokens counted for 18 short ones whatever the operators' ranks say, so that parts of it were placed beside short streams. Change: the value is halved for each rank below the most urgent kind, in the choice of endpoints and in what is placed, where a configuration ranks kinds. Leaving endpoints to urgent kinds by their recent demand changed nothing and isn't kept.

--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -303,11 +303,14 @@
 
     private placedWork(): PlacedWork[] {
         const { placement, request, admission } = this.dispatch;
+        const { route, service, customer } = admission;
         return workOfPlacement(placement, {
             id: request.id,
             owner: this.dependencies.entryId,
             promptTokens: request.size?.promptTokens ?? 0,
-            targetGap: admission.route.targetGap,
+            targetGap: route.targetGap,
+            rank: this.dependencies.schedulingPolicy.rankOf(route, service.name),
+            customer: customer?.name,
             endsBy: admission.deadline,
         });
     }
--- a/src/core/placement/endpointSelector.ts
+++ b/src/core/placement/endpointSelector.ts
@@ -270,7 +270,7 @@
         engine: EngineProfile,
         candidates: readonly KnownEndpoint[],
     ): Placement | undefined {
-        const value = requestValue(requirements.promptTokens);
+        const value = requestValue(requirements.promptTokens, requirements.rank);
         const candidatesWithMemory = candidates.filter(({ record }) =>
             !requirements.endpointsWithoutMemory.has(record.id)
         );
@@ -344,7 +344,8 @@
     ): boolean {
         const slotTime = decodeTimePerSlot(engine, requirements.answerTokens);
         const price = this.loadEstimates.demand.price(requirements.service.name, engineCount, slotTime);
-        const gain = requestValue(requirements.promptTokens) * (1 - lossFromLateness(requirements, firstEvent));
+        const gain = requestValue(requirements.promptTokens, requirements.rank)
+            * (1 - lossFromLateness(requirements, firstEvent));
         return price * (prefillDuration(engine, requirements.promptTokens) + slotTime) > gain;
     }
 
@@ -356,7 +357,7 @@
         part: Milliseconds,
         candidate: KnownEndpoint,
     ): number {
-        const value = requestValue(requirements.promptTokens);
+        const value = requestValue(requirements.promptTokens, requirements.rank);
         const firstEvent = predictFirstEvent(engine, load, part, requirements.answerTokens);
         let cost = value * latenessProbability(firstEvent, Math.max(1, requirements.targetLeft));
         const gap = passDuration(engine, load.decodeCount + 1, load.contextTokens + requirements.promptTokens)
--- a/src/core/placement/placementClient.ts
+++ b/src/core/placement/placementClient.ts
@@ -165,10 +165,10 @@
         if (placement.postponed) {
             return placement;
         }
-        const { id, endsBy, requirements: { promptTokens, targetGap, customer } } = request;
+        const { id, endsBy, requirements: { promptTokens, targetGap, rank, customer } } = request;
         const { loads, entry } = this.dependencies;
         loads.recordPlaced(
-            workOfPlacement(placement, { id, owner: entry, promptTokens, targetGap, customer, endsBy }),
+            workOfPlacement(placement, { id, owner: entry, promptTokens, targetGap, rank, customer, endsBy }),
             isKnownToPeers,
         );
         return { ...placement, recorded: true };
--- a/src/core/placement/placementServer.ts
+++ b/src/core/placement/placementServer.ts
@@ -32,7 +32,7 @@
      */
     answer(owner: string, question: PlacementQuestion): PlacementAnswer {
         const { clock, loads, selector, routes, dataCentre, isPlacer } = this.dependencies;
-        const { serial, without, requestId, promptTokens, targetGap, customer, endsIn } = question;
+        const { serial, without, requestId, promptTokens, targetGap, rank, customer, endsIn } = question;
         const service = routes()?.service(question.service);
         if (!service || !isPlacer()) {
             return { type: "Declined", serial };
@@ -52,7 +52,7 @@
         if (without === undefined && !placement.postponed) {
             const endsBy = clock.now() + endsIn;
             loads.recordPlaced(
-                workOfPlacement(placement, { id: requestId, owner, promptTokens, targetGap, customer, endsBy }),
+                workOfPlacement(placement, { id: requestId, owner, promptTokens, targetGap, rank, customer, endsBy }),
             );
         }
         return {
--- a/src/core/placement/placementWork.ts
+++ b/src/core/placement/placementWork.ts
@@ -11,13 +11,14 @@
     owner: string;
     promptTokens: number;
     targetGap: Milliseconds | undefined;
+    rank?: number;
     customer?: string;
     endsBy: Milliseconds;
 }
 
 /** Returns the work at the main endpoint, and at the helpers that prefill or hold parts for it. */
 export const workOfPlacement = (placement: Placement, request: PlacedRequest): PlacedWork[] => {
-    const { id, owner, promptTokens, targetGap, customer, endsBy } = request;
+    const { id, owner, promptTokens, targetGap, rank, customer, endsBy } = request;
     const heldTokensByEndpoint = new Map(placement.shares.map(({ endpoint, tokens }) => [endpoint.record.id, tokens]));
     const commonFields = {
         id,
@@ -25,7 +26,7 @@
         readTokens: promptTokens / (1 + placement.helpers.length),
         readTime: placement.readTime,
         targetGap,
-        value: requestValue(promptTokens),
+        value: requestValue(promptTokens, rank),
         yielding: placement.yields,
         firstEventIn: placement.helpers.length === 0 ? placement.firstEvent : undefined,
         customer,
