Digests stay in use while endpoints report states; only fresh crashes are told to all

Change: placers repeat them in their heartbeats; entries send heartbeats to all only in the 10 s after a crash or while requests are quarantined, because who survived what is told at first hand.

--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -142,6 +142,7 @@
             reportedStates: () => this.reportedStates.snapshot(),
             onReportedStates: states => this.reportedStates.merge(states),
             crashNews: () => this.quarantine.snapshot(),
+            hasUrgentCrashNews: () => this.quarantine.hasUrgentNews,
             onCrashNews: (from, news) => this.quarantine.merge(from, news),
             reachesEndpoints: () => !this.links.isCutOff,
             usesDigests: () => this.schedulingPolicy.usesHeartbeatDigests(true),
--- a/src/core/membership/heartbeatSender.ts
+++ b/src/core/membership/heartbeatSender.ts
@@ -41,7 +41,7 @@
     activeRequestIds: () => string[];
     /** This entry's status, with the time until its next heartbeat. */
     status: (nextIn: Milliseconds) => PeerStatus;
-    /** Whether the others learn by digests that this entry lives. */
+    /** Whether the placers tell the others that this entry lives, and all that they need to know of its status. */
     isCoveredByDigests: () => boolean;
     /** The digest for a placer's heartbeat; undefined where there are none. */
     createDigest: (scope: DigestScope) => MemberDigest | undefined;
@@ -77,7 +77,7 @@
         }
         if (!everyone) {
             this.sendToDependents(interval, activeRequestIds());
-            if (this.areDigestsEnough(interval)) {
+            if (this.dependencies.isCoveredByDigests()) {
                 return interval;
             }
         }
@@ -118,18 +118,6 @@
         return { type: "Alive", inProgress, status: { ...this.dependencies.status(nextIn), digest } };
     }
 
-    /**
-     * Whether the placers make this heartbeat known to all. What endpoints reported to this entry, and what it knows of crashes,
-     * is told to all entries directly as long as it is news, because a digest doesn't hold it.
-     */
-    private areDigestsEnough(interval: Milliseconds): boolean {
-        if (!this.dependencies.isCoveredByDigests()) {
-            return false;
-        }
-        const { limits, reportedStates = [], crashNews } = this.dependencies.status(interval);
-        return limits.length + reportedStates.length === 0 && crashNews === undefined;
-    }
-
     /** Sends a heartbeat with the requests in progress to the entries that depend on it, from a placer with a digest. */
     private sendToDependents(interval: Milliseconds, inProgress: string[]): void {
         const { sender, createDigest } = this.dependencies;
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -81,6 +81,8 @@
     /** What this entry knows about requests that crash endpoints, and a callback for what another entry knows. */
     crashNews?: () => CrashNews | undefined;
     onCrashNews?: (from: string, news: CrashNews) => void;
+    /** Whether all other entries need to hear of it directly; the placers repeat the rest. */
+    hasUrgentCrashNews?: () => boolean;
     /** Whether this entry can connect to endpoints. */
     reachesEndpoints?: () => boolean;
     /** Whether heartbeats go by way of the placers, where there are some; and how to fetch a placer's list of members. */
@@ -140,7 +142,8 @@
             placers,
             activeRequestIds: dependencies.activeRequestIds,
             status: nextIn => this.ownStatus(nextIn),
-            isCoveredByDigests: () => this.usesDigests && this.digests.isCovered,
+            isCoveredByDigests: () =>
+                this.usesDigests && this.digests.isCovered && !(dependencies.hasUrgentCrashNews?.() ?? false),
             createDigest: scope =>
                 this.usesDigests && this.isPlacerAmongOthers ? this.digests.createDigest(scope) : undefined,
         });
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -33,6 +33,8 @@
 
 /** Time after a crash in which most other entries have heard of it. */
 const propagationDuration: Milliseconds = 50;
+/** How long after a crash all entries tell all others directly what they know of it. */
+const urgentDuration: Milliseconds = 10_000;
 /**
  * Time after a crash in which the other entries report which of their requests were present. A decision that didn't wait for
  * them would blame this entry's requests for the crashes that another entry's request explains.
@@ -191,6 +193,16 @@
         return this.quarantined.all().map(toStored);
     }
 
+    /**
+     * Whether all other entries should hear of this one's observations directly. Later the placers' heartbeats are enough: they
+     * repeat the crashes, and who survived what matters only while endpoints crash.
+     */
+    get hasUrgentNews(): boolean {
+        const oldest = this.clock.now() - urgentDuration;
+        return this.crashLog.all().some(({ at }) => at > oldest) || this.quarantined.all().length > 0
+            || this.completions.reports().some(({ age }) => age < urgentDuration);
+    }
+
     /** Returns what other entries need to know; undefined where there is nothing. */
     snapshot(): CrashNews | undefined {
         const crashes = this.crashLog.recentReports();
