First heartbeats to all end once digests cover the entry; restarts replace confirmed processes

Cause: each start sends four heartbeats to all entries, 580 datagrams at 145; an entry that started anew took 9 s to replace its earlier process where only placers confirmed that one. Change: the first heartbeats to all end as soon as the placers confirm the entry; a list replaces a process of which nothing is heard directly.

--- a/src/core/membership/heartbeatSender.ts
+++ b/src/core/membership/heartbeatSender.ts
@@ -70,7 +70,7 @@
         const defaultInterval = everyone || self ? heartbeatInterval : rareHeartbeatInterval;
         const interval = isWatcher ? watcherHeartbeatInterval : defaultInterval;
         this.lastInterval = interval;
-        if (this.initialHeartbeatsSent < initialHeartbeatCount) {
+        if (this.initialHeartbeatsSent < initialHeartbeatCount && !this.dependencies.isCoveredByDigests()) {
             this.initialHeartbeatsSent++;
             sender.sendToAll(this.createHeartbeat(interval, activeRequestIds()));
             return interval;
--- a/src/core/membership/peerRegistry.ts
+++ b/src/core/membership/peerRegistry.ts
@@ -243,7 +243,7 @@
             Object.assign(known, state, { confirmedAt: now, lastSeenAt: now });
             return hasChanged && !known.isStopping;
         }
-        if (known && isLiving(known, now)) {
+        if (known && isHeard(known, now)) {
             return false;
         }
         const peer = newPeer({ id, address, incarnation }, now, -Infinity, known?.isListed ?? false);
@@ -342,8 +342,13 @@
     isStopping: false,
 });
 
-const isLiving = ({ receivedAt, confirmedAt, isStopping, signInterval }: Peer, now: Milliseconds): boolean => {
+/** Whether the entry's own heartbeats arrive. */
+const isHeard = ({ receivedAt, signInterval }: Peer, now: Milliseconds): boolean => {
     const missed = signInterval > rareHeartbeatInterval ? missedRareHeartbeatLimit : missedHeartbeatLimit;
-    const isHeard = now - receivedAt < missed * signInterval + heartbeatSlack;
-    return !isStopping && (isHeard || now - confirmedAt < confirmationDuration);
+    return now - receivedAt < missed * signInterval + heartbeatSlack;
+};
+
+const isLiving = (peer: Peer, now: Milliseconds): boolean => {
+    const isConfirmed = now - peer.confirmedAt < confirmationDuration;
+    return !peer.isStopping && (isHeard(peer, now) || isConfirmed);
 };
