--- a/src/adapters/callers/problem.ts
+++ b/src/adapters/callers/problem.ts
@@ -37,6 +37,7 @@
         .with(FailureKind.Quarantined, () => ({ status: 503, title: "Request crashes endpoints" }))
         .with(FailureKind.Overloaded, () => ({ status: 503, title: "Overloaded" }))
         .with(FailureKind.NoEndpoint, () => ({ status: 503, title: "No endpoint" }))
+        .with(FailureKind.MemoryFull, () => ({ status: 503, title: "Entry's memory is full" }))
         .with(FailureKind.Stopping, () => ({ status: 503, title: "Entry is stopping" }))
         .with(FailureKind.PlatformDown, () => ({ status: 503, title: "Platform down" }))
         .with(FailureKind.DeadlineExceeded, () => ({ status: 504, title: "Deadline exceeded" }))
--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -28,6 +28,8 @@
     Quarantined = "quarantined",
     Overloaded = "overloaded",
     NoEndpoint = "no-endpoint",
+    /** This entry buffers too much unread data to accept the request. */
+    MemoryFull = "memory-full",
     /** This entry stops before it could complete the response. */
     Stopping = "stopping",
     PlatformDown = "platform-down",
