Tests: building and settings of the serving program in one support file

Cause: further tests run the program as a separate process. Change: the build, the free ports and the settings move from program.test.ts to support/entryProgram.ts; the tests and their checks are the same.

--- a/__tests__/forwarding/program.test.ts
+++ b/__tests__/forwarding/program.test.ts
@@ -1,16 +1,14 @@
 /** The serving program as a separate process: signals, settings and exit codes. */
-import { buildSync } from "esbuild";
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import http from "node:http";
-import net from "node:net";
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from "vitest";
 import { systemClock } from "../../src/utils/clock.js";
+import { buildProgram, freePorts, settingsText as entrySettingsText } from "./support/entryProgram.js";
 import { call, Site } from "./support/site.js";
 
-const root = path.resolve(import.meta.dirname, "../..");
 const folder = mkdtempSync(path.join(tmpdir(), "dandelionramp-program-"));
 const program = path.join(folder, "main.cjs");
 const settingsFile = path.join(folder, "entry.ini");
@@ -21,26 +19,9 @@
 /** Ports for callers, readiness, peers and metrics. */
 let ports: number[] = [];
 
-const freePort = (): Promise<number> =>
-    new Promise(resolve => {
-        const server = net.createServer().listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as net.AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-
 beforeAll(async () => {
-    ports = await Promise.all([freePort(), freePort(), freePort(), freePort()]);
-    buildSync({
-        entryPoints: [path.join(root, "platform/main.ts")],
-        bundle: true,
-        platform: "node",
-        target: "node20",
-        format: "cjs",
-        outfile: program,
-        logLevel: "silent",
-        external: ["dtrace-provider", "mv", "moment", "safe-json-stringify", "source-map-support"],
-    });
+    ports = await freePorts();
+    buildProgram(program);
 });
 
 afterAll(() => rmSync(folder, { recursive: true }));
@@ -56,28 +37,7 @@
     await site.close();
 });
 
-const settingsText = async (changes: Record<string, string> = {}): Promise<string> => {
-    const { address } = await site.store.openListener();
-    const values: Record<string, string> = {
-        node_name: "entry-1",
-        zone: "north-a",
-        ip: "127.0.0.1",
-        "listen.front": `127.0.0.1:${ports[0]}`,
-        "listen.ready": `127.0.0.1:${ports[1]}`,
-        "listen.control": `127.0.0.1:${ports[2]}`,
-        "port_range.1": String(ports[3]),
-        "platform.address": address,
-        "bounds.retry_budget_ratio": "0.2",
-        "bounds.budget_window_s": "10",
-        "bounds.budget_extra": "100",
-        "bounds.cold_overage": "1.5",
-        "bounds.cold_extra": "5",
-        "bounds.grace_s": "4",
-        ...changes,
-    };
-    const template = readFileSync(path.join(root, "platform/entry.ini"), "utf8");
-    return template.replace(/\{\{([^}]+)\}\}/g, (...[, name]) => values[name as string] ?? "");
-};
+const settingsText = (changes: Record<string, string> = {}): Promise<string> => entrySettingsText(site, ports, changes);
 
 const start = (text: string): Promise<number | undefined> => {
     writeFileSync(settingsFile, text);
