Slow readers: buffered bytes are counted and bounded

Cause: a caller or an endpoint that doesn't read makes the entry keep its bytes. 64 queued events pause the endpoint's connection, and the endpoint then ends the response; bodies for an endpoint that doesn't read have no bound at all. Change: where the platform lists the contract and the memory is known, events go to CallerWriter at once, which counts them until they are written; bodies, unsent bodies and buffered responses count, too. The bound is a quarter of the memory above the process's own use. At four fifths of it, requests whose peer has read nothing for 200 ms give way to a new one, or the new one is rejected (503, not run, Retry-After); at the bound the requests with the most unread bytes for the longest time are ended by a reset. Elsewhere nothing changes.

--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -1,6 +1,7 @@
 /** A small site on loopback for tests: the store, replicas and entries in one process. */
 import http from "node:http";
 import net from "node:net";
+import { announcesSlowReaders } from "../../../platform/contracts.js";
 import { platformWire } from "../../../platform/forwardingWire.js";
 import { QuarantineObjects } from "../../../platform/quarantineObjects.js";
 import { ReplicaOrders } from "../../../platform/replicaOrders.js";
@@ -124,6 +125,10 @@
     graceSeconds?: number;
     /** Connects to replicas. */
     endpointPort?: EndpointPort;
+    /** Memory of its instance. */
+    memoryMegabytes?: number;
+    /** Contracts that the platform lists in its settings. */
+    contracts?: string[];
 }
 
 /** The site: one store with its replicas and entries. */
@@ -178,7 +183,8 @@
         door.refusal = options.refusal ?? Refusal.None;
         door.delay = options.delay ?? 0;
         const settings: ForwardingSettings = {
-            instance: { id, dataCentre: "north-a", processors: 1 },
+            instance: { id, dataCentre: "north-a", processors: 1, memoryMegabytes: options.memoryMegabytes ?? 0 },
+            contracts: { names: options.contracts ?? [] },
             listen: {
                 callers: "127.0.0.1:0",
                 readiness: "127.0.0.1:0",
@@ -201,6 +207,7 @@
             quarantineStore: new QuarantineObjects(door.address, systemClock),
             memory: new ReplicaOrders(systemClock, this.partLog(id, "memory")),
             wire: platformWire,
+            expectsSlowReaders: announcesSlowReaders,
             endpointPort: options.endpointPort,
             log: part => this.partLog(id, part),
         });
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -4,15 +4,19 @@
 import { match } from "ts-pattern";
 import type { RouteTable } from "../../core/configuration/routeTable.js";
 import { Execution, FailureKind, RequestFailure } from "../../core/failures.js";
+import { HeldKind } from "../../core/memoryBounds/heldBytes.js";
+import type { MemoryGuard } from "../../core/memoryBounds/memoryGuard.js";
+import { createMemoryFailure, type RequestMemory } from "../../core/memoryBounds/requestMemory.js";
 import type { CallerExchange, RequestHead, ResponseHead } from "../../ports/forwardingPorts.js";
 import { splitAddress } from "../../utils/address.js";
-import { BodyTooSlowError, collectBody } from "../../utils/bodies.js";
+import { BodyStoppedError, BodyTooSlowError, collectBody } from "../../utils/bodies.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { BodyTooLargeError, DandelionrampError, describeError } from "../../utils/errors.js";
 import { headerBytes } from "../../utils/headers.js";
 import type { PartLog } from "../../utils/log.js";
 import { abortQuietly } from "../../utils/signal.js";
 import { problemOf } from "../callers/problem.js";
+import { CallerWriter } from "./callerWriter.js";
 import type { ForwardingWire } from "./forwardingWire.js";
 
 /** Node rejects larger headers while reading them; the configured limit is lower. */
@@ -34,6 +38,7 @@
     serve: (exchange: CallerExchange) => Promise<void>;
     /** The route table in force, with its limits; undefined until a configuration is known. */
     routes: () => RouteTable | undefined;
+    memoryGuard: MemoryGuard;
     /** Whether this entry is stopping, so that callers should close their connections. */
     isStopping: () => boolean;
 }
@@ -102,7 +107,7 @@
     private handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
         const exchange = this.openExchange(request, response);
         if (exchange) {
-            void this.dependencies.serve(exchange);
+            void this.dependencies.serve(exchange).then(() => exchange.releaseBody());
         }
     }
 
@@ -129,7 +134,11 @@
 
 /** One request and its response. */
 class HttpExchange implements CallerExchange {
+    readonly memory: RequestMemory | undefined;
     private readonly disconnectController = new AbortController();
+    /** Sends the response where buffered bytes are bounded. */
+    private readonly writer: CallerWriter | undefined;
+    private bodyBytes = 0;
 
     constructor(
         private readonly dependencies: CallerPortDependencies,
@@ -137,7 +146,11 @@
         private readonly request: http.IncomingMessage,
         private readonly response: http.ServerResponse,
     ) {
+        this.memory = dependencies.memoryGuard.open(head.id);
+        this.writer = this.memory && new CallerWriter(response, this.memory);
+        this.memory?.ended.addEventListener("abort", () => this.endUnread(), { once: true });
         response.once("close", () => {
+            this.memory?.close();
             if (!response.writableFinished) {
                 abortQuietly(this.disconnectController);
             }
@@ -160,9 +173,10 @@
         if (Number(this.request.headers["content-length"] ?? 0) > limitBytes) {
             throw toBodyFailure(new BodyTooLargeError(limitBytes));
         }
+        this.countBody();
         try {
             const time = { limit: this.bodyTimeout(), clock: this.dependencies.clock };
-            return await collectBody(this.request, { bytes: limitBytes, time });
+            return await collectBody(this.request, { bytes: limitBytes, time, signal: this.memory?.ended });
         }
         catch (error) {
             throw toBodyFailure(error);
@@ -171,6 +185,11 @@
 
     respond(head: ResponseHead, body: Buffer): void {
         this.writeHead(head);
+        if (this.writer && this.head.method !== "HEAD") {
+            this.writer.write(body);
+            this.endStream();
+            return;
+        }
         this.response.end(this.head.method === "HEAD" ? undefined : body);
     }
 
@@ -179,6 +198,10 @@
     }
 
     write(bytes: Buffer): Promise<void> {
+        if (this.writer) {
+            this.writer.write(bytes);
+            return Promise.resolve();
+        }
         if (this.response.write(bytes)) {
             return Promise.resolve();
         }
@@ -193,11 +216,19 @@
     }
 
     endStream(): void {
-        this.response.end();
+        this.afterQueued(() => this.response.end());
     }
 
     abortStream(): void {
-        this.response.destroy();
+        this.afterQueued(() =>
+            this.writer && this.request.httpVersionMinor === 0 ? this.reset() : this.response.destroy()
+        );
+    }
+
+    /** Stops counting the body, which no attempt needs any more. */
+    releaseBody(): void {
+        this.memory?.change(HeldKind.Body, -this.bodyBytes);
+        this.bodyBytes = 0;
     }
 
     fail(failure: RequestFailure): void {
@@ -232,6 +263,49 @@
         this.fail(failure);
     }
 
+    /** Counts the announced length of the body at once, so that bodies that arrive slowly can't exceed the bound together. */
+    private countBody(): void {
+        const { memory } = this;
+        if (!memory) {
+            return;
+        }
+        const announcedBytes = Number(this.request.headers["content-length"] ?? 0);
+        memory.admit(announcedBytes);
+        this.bodyBytes = announcedBytes;
+        memory.change(HeldKind.Body, announcedBytes);
+        let receivedBytes = 0;
+        this.request.on("data", (bytes: Buffer) => {
+            receivedBytes += bytes.length;
+            const excessBytes = Math.max(0, receivedBytes - this.bodyBytes);
+            this.bodyBytes += excessBytes;
+            memory.change(HeldKind.Body, excessBytes);
+        });
+    }
+
+    private afterQueued(action: () => void): void {
+        if (this.writer) {
+            this.writer.finish(action);
+            return;
+        }
+        action();
+    }
+
+    /** Ends the response because of the bound. A request without a response gets a failure when its task ends. */
+    private endUnread(): void {
+        if (this.response.headersSent) {
+            this.reset();
+        }
+    }
+
+    /**
+     * Closes the connection with a reset. After an ordinary close, a body that ends with its connection, as those of HTTP/1.0
+     * do, would look complete, and the operating system would keep the unread bytes.
+     */
+    private reset(): void {
+        this.response.socket?.resetAndDestroy();
+        this.response.destroy();
+    }
+
     private writeHead({ status, headers }: ResponseHead): void {
         const all = [...headers];
         if (this.dependencies.isStopping()) {
@@ -257,6 +331,9 @@
     if (error instanceof BodyTooLargeError) {
         return new RequestFailure(FailureKind.BodyTooLarge, Execution.NotRun, error.message);
     }
+    if (error instanceof BodyStoppedError) {
+        return createMemoryFailure();
+    }
     const kind = error instanceof BodyTooSlowError ? FailureKind.RequestTooSlow : FailureKind.BadRequest;
     return new RequestFailure(kind, Execution.NotRun, describeError(error));
 };
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -1,6 +1,7 @@
 /** Sends attempts to endpoints over HTTP and classifies the outcome of each. */
 import http from "node:http";
 import net, { type Socket } from "node:net";
+import { HeldKind } from "../../core/memoryBounds/heldBytes.js";
 import {
     type AttemptOutcome,
     ConnectFailure,
@@ -181,9 +182,23 @@
             this.removeAbortListener();
             this.settleWithoutResponse();
         });
+        this.countUnsentBody(request);
         request.end(this.attempt.request.body);
     }
 
+    /** Counts the body as unread until all of it is written, or until the connection has failed. */
+    private countUnsentBody(request: http.ClientRequest): void {
+        const { body, memory } = this.attempt.request;
+        let unsentBytes = body.length;
+        const recordSent = () => {
+            memory?.change(HeldKind.Unsent, -unsentBytes);
+            unsentBytes = 0;
+        };
+        memory?.change(HeldKind.Unsent, unsentBytes);
+        request.once("finish", recordSent);
+        request.once("close", recordSent);
+    }
+
     private createRequest(): http.ClientRequest {
         const { request, endpoint, mayReuseConnection } = this.attempt;
         const { agent, socket } = this.options;
@@ -313,9 +328,20 @@
     }
 
     private async readBody(response: http.IncomingMessage): Promise<Buffer> {
-        const body = await collectBody(response, { bytes: maximumResponseBytes });
-        this.throwIfIncomplete(response);
-        return body;
+        const { memory } = this.attempt.request;
+        let receivedBytes = 0;
+        response.on("data", (bytes: Buffer) => {
+            receivedBytes += bytes.length;
+            memory?.change(HeldKind.Received, bytes.length);
+        });
+        try {
+            const body = await collectBody(response, { bytes: maximumResponseBytes });
+            this.throwIfIncomplete(response);
+            return body;
+        }
+        finally {
+            memory?.change(HeldKind.Received, -receivedBytes);
+        }
     }
 
     /**
--- a/src/adapters/forwarding/entrySettings.ts
+++ b/src/adapters/forwarding/entrySettings.ts
@@ -17,6 +17,7 @@
 const defaultColdBudget = { factor: 1, extra: 0 };
 const defaultGraceSeconds = 8;
 const defaultProcessors = 1;
+const unknownMemoryMegabytes = 0;
 
 /** Schema of the settings file. */
 export const forwardingSettingsSchema = z.strictObject({
@@ -25,7 +26,11 @@
         dataCentre: setting.text(),
         /** Number of processor cores that this instance may use. */
         processors: numberOrDefault(defaultProcessors).default(defaultProcessors),
+        /** Memory that this instance may use; 0 where the platform sets no limit, and buffered data is then not bounded. */
+        memoryMegabytes: numberOrDefault(unknownMemoryMegabytes).default(unknownMemoryMegabytes),
     }),
+    /** What the platform announces about its callers and endpoints, in its own words, separated by commas. */
+    contracts: z.strictObject({ names: setting.list() }).default({ names: [] }),
     listen: z.strictObject({
         callers: setting.address(),
         /** Address of the readiness check. */
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -60,6 +60,8 @@
 /** Minimum time that the seed entries get to respond before the list of entries is read from the store. */
 const minimumSeedTimeout: Milliseconds = 300;
 
+const bytesPerMegabyte = 1024 * 1024;
+
 /** Dependencies of {@link ForwardingEntry}. */
 export interface ForwardingEntryDependencies {
     clock: Clock;
@@ -71,6 +73,8 @@
     /** Connects to endpoints; an {@link EndpointClient} by default. */
     endpointPort?: EndpointPort;
     log: (part: string) => PartLog;
+    /** Whether contracts that the platform lists mean that callers and endpoints may read slowly. */
+    expectsSlowReaders?: (contracts: readonly string[]) => boolean;
     /** Additional gauges of the surrounding program. */
     gauges?: () => Record<string, number>;
 }
@@ -117,6 +121,11 @@
             publishesPlacements: settings.placement.shared,
             scheduling: () => this.settings.scheduling,
             processors: instance.processors,
+            memory: {
+                limitBytes: instance.memoryMegabytes * bytesPerMegabyte,
+                residentBytes: () => process.memoryUsage.rss(),
+            },
+            expectsSlowReaders: () => dependencies.expectsSlowReaders?.(this.settings.contracts.names) ?? false,
             retryLimits: () => {
                 const { share, windowSeconds, extra } = this.settings.repeats;
                 return { share, window: windowSeconds * 1_000, extra };
@@ -165,6 +174,7 @@
             log: log("callers"),
             serve: exchange => this.core.forwarder.serve(exchange),
             routes: () => this.configuration.routes,
+            memoryGuard: this.core.memoryGuard,
             isStopping: () => this.plannedStop !== undefined,
         });
         this.configuration.onChange(routes => this.callerPort.applyLimits(routes));
@@ -392,6 +402,8 @@
             quarantined_requests: this.core.quarantine.count,
             reaches_endpoints: this.core.links.isCutOff ? 0 : 1,
             carried_connections: this.core.relayGuard.openConnections,
+            buffered_bytes: this.core.memoryGuard.heldBytes,
+            buffered_bytes_bound: Math.round(this.core.memoryGuard.boundBytes),
             resident_memory_bytes: process.memoryUsage.rss(),
             processor_milliseconds_total: Math.round((user + system) / 1_000),
             ...this.dependencies.gauges?.(),
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -23,6 +23,7 @@
 import { Membership } from "./membership/membership.js";
 import { Peers } from "./membership/peers.js";
 import { ReportedStates } from "./membership/reportedStates.js";
+import { type InstanceMemory, MemoryGuard, unknownMemory } from "./memoryBounds/memoryGuard.js";
 import { Metrics } from "./metrics.js";
 import { Eligibility } from "./placement/eligibility.js";
 import { EndpointSelector } from "./placement/endpointSelector.js";
@@ -62,6 +63,10 @@
     scheduling: () => SchedulingSettings;
     /** Number of processor cores of this entry's instance. */
     processors?: number;
+    /** Memory of this entry's instance; without it, buffered bytes are not bounded. */
+    memory?: InstanceMemory;
+    /** Whether the platform announces callers and endpoints that read slowly. */
+    expectsSlowReaders?: () => boolean;
     retryLimits: () => RetryLimits;
     coldLimits: () => ColdLimits;
     /** The revisions of stored objects that this entry has. */
@@ -96,6 +101,8 @@
     readonly relayGuard: RelayGuard;
     readonly forwarder: Forwarder;
     readonly schedulingPolicy: SchedulingPolicy;
+    /** Bounds the bytes that are buffered for callers and endpoints. */
+    readonly memoryGuard: MemoryGuard;
     private readonly loans: AllowanceLoans;
     private readonly failures: FailureTracker;
     private readonly placementClient: PlacementClient;
@@ -113,6 +120,13 @@
             settings: dependencies.scheduling,
             configuration: () => this.configuration.routes?.configuration,
         });
+        this.memoryGuard = new MemoryGuard({
+            clock,
+            log: log("buffers"),
+            metrics: this.metrics,
+            memory: dependencies.memory ?? unknownMemory,
+            isOn: () => this.schedulingPolicy.boundsSlowReaders(dependencies.expectsSlowReaders?.() ?? false),
+        });
         this.directory = new EndpointDirectory(clock, log("directory"));
         this.failures = new FailureTracker(clock, log("failures"), self.id);
         this.loads = new SharedLoadEstimator(new LoadEstimator(clock, endpoint => this.engineOf(endpoint)), clock);
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -59,7 +59,12 @@
         metrics.count("requests_total", `kind="${admission.route.kind}"`);
         const limits = configuration.routes!.configuration.limits;
         const body = await exchange.readBody(limits.bodyBytes);
-        await new RequestTask(this.dependencies, exchange, { ...exchange.head, body }, admission).run();
+        await new RequestTask(
+            this.dependencies,
+            exchange,
+            { ...exchange.head, body, memory: exchange.memory },
+            admission,
+        ).run();
     }
 
     /**
--- a/src/core/forwarding/requestProgress.ts
+++ b/src/core/forwarding/requestProgress.ts
@@ -4,6 +4,7 @@
 import { abortQuietly } from "../../utils/signal.js";
 import { Execution, FailureKind, RequestFailure } from "../failures.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
+import { createMemoryFailure, memoryBoundDetail } from "../memoryBounds/requestMemory.js";
 import { RequestFingerprint } from "../quarantine/requestFingerprint.js";
 import type { Admission } from "./admission.js";
 import { Attempts } from "./attempts.js";
@@ -82,8 +83,13 @@
             : new RequestFailure(kind, Execution.NotRun, detail, retryAfterSeconds);
     }
 
-    /** Throws when the caller has disconnected or the deadline has passed. */
+    /** Throws when the caller has disconnected, the deadline has passed or the buffered data of the request stays unread. */
     throwIfEnded(): void {
+        if (this.exchange.memory?.ended.aborted) {
+            throw this.attempts.countedAttempts === 0
+                ? createMemoryFailure()
+                : new RequestFailure(FailureKind.OutcomeUnknown, Execution.Unknown, memoryBoundDetail);
+        }
         if (this.ended.aborted || this.timeLeft <= 0) {
             const execution = this.attempts.countedAttempts === 0 ? Execution.NotRun : Execution.Unknown;
             const detail = this.exchange.disconnected.aborted
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -72,6 +72,7 @@
     async run(): Promise<void> {
         const end = () => this.progress.end();
         this.progress.exchange.disconnected.addEventListener("abort", end, { once: true });
+        this.progress.exchange.memory?.ended.addEventListener("abort", end, { once: true });
         const stopTimer = this.dependencies.clock.after(Math.max(0, this.progress.timeLeft), end);
         try {
             await this.sendUntilDone();
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -1,5 +1,6 @@
 /** Ports between forwarding and its callers and endpoints. */
 import type { RequestFailure } from "../core/failures.js";
+import type { RequestMemory } from "../core/memoryBounds/requestMemory.js";
 import type { EndpointRecord } from "../types/routing.js";
 import type { Milliseconds } from "../utils/clock.js";
 import { DandelionrampError } from "../utils/errors.js";
@@ -39,6 +40,8 @@
 /** A request with its complete body. */
 export interface ForwardedRequest extends RequestHead {
     body: Buffer;
+    /** Account of the bytes that are buffered for the request; undefined where they are not bounded. */
+    memory?: RequestMemory;
 }
 
 /** An endpoint that prefills a part of a prompt for another endpoint. */
@@ -182,13 +185,15 @@
     readonly head: RequestHead;
     /** Aborts when the caller disconnects. */
     readonly disconnected: AbortSignal;
+    /** Account of the bytes that are buffered for the request; undefined where they are not bounded. */
+    readonly memory?: RequestMemory;
     /** Reads the body. Throws a {@link RequestFailure} when it exceeds `limitBytes` or is incomplete. */
     readBody(limitBytes: number): Promise<Buffer>;
     /** Sends a complete response to the caller. */
     respond(head: ResponseHead, body: Buffer): void;
     /** Sends the head of a streamed response. */
     beginStream(head: ResponseHead): void;
-    /** Sends bytes of the stream; resolves when the connection accepts more. */
+    /** Sends bytes of the stream; resolves when the connection accepts more, or at once where buffered bytes are bounded. */
     write(bytes: Buffer): Promise<void>;
     /** Ends a complete stream. */
     endStream(): void;
--- a/src/utils/bodies.ts
+++ b/src/utils/bodies.ts
@@ -13,16 +13,21 @@
     }
 }
 
+/** The signal aborted before the body was complete. */
+export class BodyStoppedError extends DandelionrampError {}
+
 /** Limits on the size of a body and on the time to read it. */
 export interface BodyLimits {
     bytes: number;
     /** Timeout for the complete body; omitted where the caller has its own timeout. */
     time?: { limit: Milliseconds; clock: Clock; };
+    /** Stops the reading when it aborts. */
+    signal?: AbortSignal;
 }
 
 /**
- * Resolves with the complete body. Rejects with {@link BodyIncompleteError}, {@link BodyTooSlowError} or
- * {@link BodyTooLargeError}.
+ * Resolves with the complete body. Rejects with {@link BodyIncompleteError}, {@link BodyTooSlowError},
+ * {@link BodyTooLargeError} or {@link BodyStoppedError}.
  */
 export const collectBody = (message: IncomingMessage, limits: BodyLimits): Promise<Buffer> =>
     new Promise((resolve, reject) => {
@@ -32,6 +37,7 @@
         const finish = (settle: () => void) => {
             cancelTimer();
             message.off("data", addChunk);
+            limits.signal?.removeEventListener("abort", stop);
             settle();
         };
         const addChunk = (chunk: Buffer) => {
@@ -42,6 +48,12 @@
             }
             chunks.push(chunk);
         };
+        const stop = () => finish(() => reject(new BodyStoppedError("the reading was stopped")));
+        if (limits.signal?.aborted) {
+            stop();
+            return;
+        }
+        limits.signal?.addEventListener("abort", stop, { once: true });
         message.on("data", addChunk);
         message.once("end", () => {
             if (message.complete) {
