Settings: an entry starts where the platform doesn't know the memory placeholder

Cause: a platform that doesn't know limits.memory_mb leaves the placeholder in place, and the entry rejected its settings (settings.test.ts, 12 tests failed). Change: such a placeholder counts as no limit, and buffered bytes are then not bounded. Other values that are no numbers are rejected as before. Measured: settings.test.ts, its tests unchanged and one added, 13 pass; program.test.ts, 4 pass.

--- a/__tests__/forwarding/settings.test.ts
+++ b/__tests__/forwarding/settings.test.ts
@@ -46,6 +46,14 @@
     expect(settings.peers).toEqual({ seeds: ["10.1.0.40:7340", "10.2.0.29:7340"], firstStart: true });
 });
 
+test("memory and contracts, also of a platform that doesn't know them", () => {
+    // The platform leaves placeholders that it doesn't know as they are; entries must start nevertheless.
+    const settings = parseFilledTemplate({ "limits.memory_mb": "384", contracts: "pressure, other" });
+    expect([settings.instance.memoryMegabytes, settings.contracts.names]).toEqual([384, ["pressure", "other"]]);
+    expect(parseFilledTemplate().instance.memoryMegabytes).toBe(0);
+    expect(() => parseFilledTemplate({ "limits.memory_mb": "much" })).toThrow("[instance] memoryMegabytes");
+});
+
 test("platform that names no other entries", () => {
     expect(parseFilledTemplate({ seeds: "", bootstrap: "" }).peers).toEqual({ seeds: [], firstStart: false });
     expect(parseFilledTemplate({ bootstrap: "false" }).peers.firstStart).toBe(false);
--- a/src/adapters/forwarding/entrySettings.ts
+++ b/src/adapters/forwarding/entrySettings.ts
@@ -12,6 +12,18 @@
         .refine(text => text === "" || parseNonNegativeNumber(text) !== undefined, "expected a number of at least 0")
         .transform(text => text === "" ? defaultValue : Number(text));
 
+/**
+ * A placeholder of the settings file that the platform did not replace, since it doesn't know its name. An entry that rejected
+ * it would not start there at all.
+ */
+const unknownPlaceholder = /^\{\{.*\}\}$/;
+
+/** Like {@link numberOrDefault}; a placeholder that the platform doesn't know gives `defaultValue`, too. */
+const knownNumberOrDefault = (defaultValue: number) =>
+    z.string("expected a number of at least 0")
+        .transform(text => unknownPlaceholder.test(text) ? "" : text)
+        .pipe(numberOrDefault(defaultValue));
+
 /** Defaults where a platform sets no bound: the retry budget of the smallest current site, and no excess for cold endpoints. */
 const defaultRetryBudget = { share: 0.2, windowSeconds: 10, extra: 50 };
 const defaultColdBudget = { factor: 1, extra: 0 };
@@ -27,7 +39,7 @@
         /** Number of processor cores that this instance may use. */
         processors: numberOrDefault(defaultProcessors).default(defaultProcessors),
         /** Memory that this instance may use; 0 where the platform sets no limit, and buffered data is then not bounded. */
-        memoryMegabytes: numberOrDefault(unknownMemoryMegabytes).default(unknownMemoryMegabytes),
+        memoryMegabytes: knownNumberOrDefault(unknownMemoryMegabytes).default(unknownMemoryMegabytes),
     }),
     /** What the platform announces about its callers and endpoints, in its own words, separated by commas. */
     contracts: z.strictObject({ names: setting.list() }).default({ names: [] }),
