Losses: reasons for requests of slow readers

Cause: a response that was ended because its caller didn't read would count as served or as lost by its endpoint.

--- a/__tests__/losses.test.ts
+++ b/__tests__/losses.test.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { expect, test } from "vitest";
+import { FailureKind } from "../src/core/failures.js";
 import { readLogFiles } from "../src/losses/logFiles.js";
 import { findLosses, LossReason } from "../src/losses/reasons.js";
 import { buildTraces, type LogLine } from "../src/losses/requestTraces.js";
@@ -51,6 +52,13 @@
     expect(losses.map(({ reason }) => reason)).toEqual([LossReason.UnpredictedPrefillWait]);
 });
 
+test("ended and rejected requests of slow readers aren't attributed to endpoints", () => {
+    const ended = line(2_000, "", {});
+    const message = "buffers: A request is ended, because its data stays unread.";
+    expect(firstReason(sent(0), streamed(200), { ...ended, message })).toBe(LossReason.Unread);
+    expect(firstReason(line(0, "A request failed.", { kind: FailureKind.MemoryFull }))).toBe(LossReason.MemoryFull);
+});
+
 test("gaps, retries, memory and rejections", () => {
     expect(firstReason(sent(0), streamed(200, 400))).toBe(LossReason.LongGap);
     expect(firstReason(sent(0), sent(500), streamed(200, 400))).toBe(LossReason.LongGapAfterLoss);
--- a/src/losses/reasons.ts
+++ b/src/losses/reasons.ts
@@ -18,6 +18,8 @@
     LongGapAfterLoss = "a pause when its endpoint was lost",
     Overloaded = "refused: too much to do",
     NoEndpoint = "refused: no endpoint",
+    MemoryFull = "refused: its entry buffers too much for slow readers",
+    Unread = "ended, as its data stayed unread",
     EntryStopping = "refused: its entry was stopping",
     EntryNotReady = "refused: its entry had just started",
     DeadlineExceeded = "its time was over",
@@ -54,6 +56,9 @@
 };
 
 const findReason = (trace: RequestTrace, prefills: PrefillsByEndpoint): LossReason | undefined => {
+    if (trace.wasEndedUnread) {
+        return LossReason.Unread;
+    }
     switch (trace.end) {
         case TraceEnd.Streamed:
         case TraceEnd.Answered:
@@ -108,6 +113,7 @@
 const findFailureReason = ({ failure, reason, attempts }: RequestTrace): LossReason =>
     match(failure)
         .with(FailureKind.NoEndpoint, () => LossReason.NoEndpoint)
+        .with(FailureKind.MemoryFull, () => LossReason.MemoryFull)
         .with(FailureKind.Stopping, () => LossReason.EntryStopping)
         .with(FailureKind.NotConfigured, () => LossReason.EntryNotReady)
         .with(FailureKind.DeadlineExceeded, () =>
--- a/src/losses/requestTraces.ts
+++ b/src/losses/requestTraces.ts
@@ -46,6 +46,8 @@
     attempts: AttemptTrace[];
     wasPostponed: boolean;
     waitedForMemory: boolean;
+    /** Whether it was ended because a peer didn't read its data. */
+    wasEndedUnread: boolean;
     end: TraceEnd;
     endedAt: Milliseconds;
     /** Time from the arrival to the first event of a stream, or to the plain response. */
@@ -59,6 +61,8 @@
 const asNumber = (value: unknown): number | undefined => typeof value === "number" ? value : undefined;
 const asText = (value: unknown): string | undefined => typeof value === "string" ? value : undefined;
 
+const unreadMessage = "buffers: A request is ended, because its data stays unread.";
+
 /** Failures caused by the caller's own request; they aren't counted as losses. */
 const callerErrorKinds = new Set<string>([
     FailureKind.UnknownRoute,
@@ -72,7 +76,7 @@
     const traceById = new Map<string, RequestTrace>();
     for (const line of lines) {
         const id = asText(line.fields.requestId);
-        if (id === undefined || !line.message.startsWith("request: ")) {
+        if (id === undefined || !(line.message.startsWith("request: ") || line.message === unreadMessage)) {
             continue;
         }
         let trace = traceById.get(id);
@@ -97,6 +101,7 @@
     attempts: [],
     wasPostponed: false,
     waitedForMemory: false,
+    wasEndedUnread: false,
     end: TraceEnd.Open,
     endedAt: time,
     firstEvent: undefined,
@@ -127,6 +132,10 @@
         case "request: Memory can't be set aside.":
             trace.waitedForMemory = true;
             return;
+        case unreadMessage:
+            trace.wasEndedUnread = true;
+            setEnd(trace, TraceEnd.Cut, time);
+            return;
         case "request: Streamed.":
             setEnd(trace, TraceEnd.Streamed, time);
             trace.firstEvent = asNumber(fields.firstEventAfter);
