Setting for grants of requests to cold endpoints

Cause: placers are to grant requests to cold endpoints, and operators need a way to turn that off. Change: [scheduling] coldGrants, with auto, on and off; auto is on where there are placers. Nothing uses it yet. Measured: type check.

--- a/src/adapters/forwarding/entrySettings.ts
+++ b/src/adapters/forwarding/entrySettings.ts
@@ -63,6 +63,7 @@
     scheduling: z.strictObject({
         ranks: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
         customerShares: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
+        coldGrants: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
         heartbeatDigests: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
         slowReaders: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
     }).default(defaultSchedulingSettings),
--- a/src/commands/replay.ts
+++ b/src/commands/replay.ts
@@ -22,6 +22,7 @@
 const withoutScheduling: SchedulingSettings = {
     ranks: PartSwitch.Off,
     customerShares: PartSwitch.Off,
+    coldGrants: PartSwitch.Off,
     heartbeatDigests: PartSwitch.Off,
     slowReaders: PartSwitch.Off,
 };
--- a/src/core/scheduling/schedulingPolicy.ts
+++ b/src/core/scheduling/schedulingPolicy.ts
@@ -15,6 +15,8 @@
     ranks: PartSwitch;
     /** Shares of customers under scarcity. */
     customerShares: PartSwitch;
+    /** Requests to cold endpoints that placers grant. */
+    coldGrants: PartSwitch;
     /** Heartbeats by way of the placers. */
     heartbeatDigests: PartSwitch;
     /** Bounds on what is held for slow readers. */
@@ -25,6 +27,7 @@
 export const defaultSchedulingSettings: SchedulingSettings = {
     ranks: PartSwitch.Auto,
     customerShares: PartSwitch.Auto,
+    coldGrants: PartSwitch.Auto,
     heartbeatDigests: PartSwitch.Auto,
     slowReaders: PartSwitch.Auto,
 };
@@ -59,6 +62,11 @@
         return isOn(this.dependencies.settings().customerShares, () => this.hasRanks(service));
     }
 
+    /** Whether placers grant requests to cold endpoints. */
+    usesColdGrants(hasPlacers: boolean): boolean {
+        return hasPlacers && isOn(this.dependencies.settings().coldGrants, () => true);
+    }
+
     /** Whether heartbeats go by way of the placers. */
     usesHeartbeatDigests(hasPlacers: boolean): boolean {
         return hasPlacers && isOn(this.dependencies.settings().heartbeatDigests, () => true);
