--- a/src/core/membership/reportedStates.ts
+++ b/src/core/membership/reportedStates.ts
@@ -21,6 +21,8 @@
     isLeaving: boolean;
     /** When the endpoint stops being cold, on the local clock. */
     coldUntil: Milliseconds;
+    /** When this entry learned that the endpoint is cold. */
+    coldSince: Milliseconds;
     reportedAt: Milliseconds;
 }
 
@@ -66,6 +68,11 @@
         }
     }
 
+    /** When this entry learned that `endpoint` is cold; meaningful only while it is. */
+    coldSince(endpoint: EndpointRecord): Milliseconds {
+        return this.find(endpoint)?.coldSince ?? -Infinity;
+    }
+
     /** Returns the states to send to other entries. */
     snapshot(): ReportedState[] {
         const now = this.clock.now();
@@ -106,9 +113,11 @@
         }
         const known = previous?.incarnation === incarnation ? previous : undefined;
         const wasLeaving = known?.isLeaving ?? false;
+        const wasCold = (known?.coldUntil ?? 0) > this.clock.now();
         this.stateByEndpoint.set(id, {
             incarnation,
             isLeaving: wasLeaving || isLeaving,
+            coldSince: wasCold ? known!.coldSince : this.clock.now(),
             coldUntil: Math.max(known?.coldUntil ?? 0, coldUntil),
             reportedAt: Math.max(known?.reportedAt ?? -Infinity, reportedAt),
         });
