Placers grant requests to cold endpoints with the placement

Cause: an entry may use only the few cold endpoints at which it has a part, whatever its need. Change: a placer selects among the cold endpoints that the asking entry may use and those that it may grant; the answer has the optional field coldGrant. Parts are asked for and lent by two new messages, which only entries get whose heartbeat has the optional field lendsColdParts. An endpoint that reported that it is cold again takes grants after 2.3 s, when all entries know it and the earlier requests have left the counting window.

--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -70,6 +70,7 @@
     })).optional(),
     crashNews: crashNewsSchema.optional(),
     reachesEndpoints: z.boolean().optional(),
+    lendsColdParts: z.boolean().optional(),
 });
 const stateDeltaSchema = z.object({
     kind: z.enum(StateKind),
@@ -104,6 +105,7 @@
     rank: z.number().optional(),
     customer: z.string().optional(),
     age: z.number().optional(),
+    takesColdGrants: z.boolean().optional(),
 });
 const placementSchema = z.object({
     endpoint: z.string(),
@@ -121,7 +123,13 @@
 const placementAnswerSchema = z.discriminatedUnion("type", [
     z.object({ type: z.literal("Declined"), serial: z.number() }),
     z.object({ type: z.literal("NoEndpoint"), serial: z.number() }),
-    z.object({ type: z.literal("Chosen"), serial: z.number(), placement: placementSchema, busyFor: z.number() }),
+    z.object({
+        type: z.literal("Chosen"),
+        serial: z.number(),
+        placement: placementSchema,
+        busyFor: z.number(),
+        coldGrant: z.number().optional(),
+    }),
 ]);
 
 const lentAllowanceSchema = z.object({ endpoint: z.string(), count: z.number().int().min(0) });
@@ -145,6 +153,8 @@
         z.object({ type: z.literal("AllowanceAsked"), serial: z.number() }),
         z.object({ type: z.literal("AllowanceLent"), serial: z.number(), allowances: z.array(lentAllowanceSchema) }),
         z.object({ type: z.literal("AllowanceReturned"), serial: z.number(), kept: z.array(lentAllowanceSchema) }),
+        z.object({ type: z.literal("ColdPartsAsked"), serial: z.number() }),
+        z.object({ type: z.literal("ColdPartsLent"), serial: z.number(), parts: z.array(lentAllowanceSchema) }),
         z.object({ type: z.literal("Stopping") }),
         z.object({ type: z.literal("Greeting") }),
         z.object({ type: z.literal("Entries"), entries: z.array(peerAddressSchema) }),
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -12,6 +12,7 @@
 import type { Random } from "../utils/random.js";
 import { AllowanceLoans } from "./budgets/allowanceLoans.js";
 import { ColdBudget, type ColdLimits } from "./budgets/coldBudget.js";
+import { ColdGrants } from "./budgets/coldGrants.js";
 import { countingWindow, EndpointLimits } from "./budgets/endpointLimits.js";
 import { EndpointPauses } from "./budgets/endpointPauses.js";
 import { type RetryLimits, SharedRetryBudget } from "./budgets/sharedRetryBudget.js";
@@ -22,8 +23,10 @@
 import { EndpointReports } from "./membership/endpointReports.js";
 import { Membership } from "./membership/membership.js";
 import { Peers } from "./membership/peers.js";
+import { fullMeshPeerLimit } from "./membership/placers.js";
 import { ReportedStates } from "./membership/reportedStates.js";
 import { Metrics } from "./metrics.js";
+import { ColdGranter } from "./placement/coldGranter.js";
 import { Eligibility } from "./placement/eligibility.js";
 import { EndpointSelector } from "./placement/endpointSelector.js";
 import { FailureTracker, type SendResult } from "./placement/failureTracker.js";
@@ -136,6 +139,9 @@
             onAllowanceAsked: (from, serial) => this.loans.answer(from, serial),
             onAllowanceReturned: (from, serial, kept) => this.loans.receiveReturn(from, serial, kept),
             onAllowanceLent: (from, serial, allowances) => this.loans.receive(from, serial, allowances),
+            lendsColdParts: () => this.schedulingPolicy.usesColdGrants(!this.peers.placers().everyone),
+            onColdPartsAsked: (from, serial) => coldGrants.answer(from, serial),
+            onColdPartsLent: (from, serial, parts) => coldGrants.receive(from, serial, parts),
             reportedStates: () => this.reportedStates.snapshot(),
             onReportedStates: states => this.reportedStates.merge(states),
             crashNews: () => this.quarantine.snapshot(),
@@ -182,7 +188,31 @@
             pauses,
             reportedStates,
             onShortage,
+            onColdDemand: isShort => coldGrants.recordDemand(isShort),
         });
+        const usesColdGrants = () => this.schedulingPolicy.usesColdGrants(!peers.placers().everyone);
+        const coldGrants = new ColdGrants({
+            clock,
+            random,
+            log: log("cold"),
+            isOn: usesColdGrants,
+            isFirstStart: dependencies.isFirstStart,
+            isPlacer: () => peers.placers().self,
+            reachesPlacers: () => peers.placersToAsk().length > 0,
+            lendableParts: borrower =>
+                (this.configuration.routes?.configuration.services ?? []).flatMap(service =>
+                    eligibility.lendableParts(service, borrower)
+                ),
+            lenders: () => peers.livingColdLenders(),
+            ask: (address, serial) => peers.requestColdParts(address, serial),
+            lend: (address, serial, parts) => peers.lendColdParts(address, serial, parts),
+        });
+        coldBudget.grants = coldGrants;
+        // An entry that has just started hears few others yet, and takes no part that its earlier process may have lent.
+        coldBudget.lendsParts = () =>
+            usesColdGrants()
+            || (!coldGrants.isSettled
+                && this.schedulingPolicy.usesColdGrants(peers.ids().length > fullMeshPeerLimit));
         this.links = new LinkTracker({
             clock,
             random,
@@ -220,6 +250,7 @@
             selector,
             loads,
             peers,
+            grantedColdBudget: () => usesColdGrants() ? coldBudget : undefined,
         });
         const placementServer = new PlacementServer({
             clock,
@@ -230,6 +261,14 @@
             loads,
             dataCentre,
             isPlacer: () => peers.placers().self,
+            coldGranter: new ColdGranter({
+                log: log("cold"),
+                metrics,
+                directory,
+                eligibility,
+                coldBudget,
+                coldGrants,
+            }),
         });
         this.quarantineKeeper = new QuarantineKeeper({
             clock,
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -99,7 +99,11 @@
         if (!placement.recorded) {
             loadEstimator.recordPlaced(this.placedWork());
         }
-        coldBudget.recordSent(placement.endpoint.record.id);
+        if (!coldBudget.recordSent(placement.endpoint.record.id, this.dispatch.request.id)) {
+            this.dependencies.metrics.count("cold_grants_expired_total");
+            this.finish();
+            return { type: "Withdrawn" };
+        }
         endpointLimits.recordSent(placement.endpoint.record.id);
         const endpointsWithoutMemory = await this.reserveMemory();
         if (endpointsWithoutMemory.length > 0) {
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -70,6 +70,10 @@
     onAllowanceAsked?: (from: PeerIdentity, serial: number) => void;
     onAllowanceReturned?: (from: string, serial: number, kept: readonly LentAllowance[]) => void;
     onAllowanceLent?: (from: PeerIdentity, serial: number, allowances: readonly LentAllowance[]) => void;
+    /** Whether this entry lends its parts of cold endpoints, and callbacks for questions and answers. */
+    lendsColdParts?: () => boolean;
+    onColdPartsAsked?: (from: PeerIdentity, serial: number) => void;
+    onColdPartsLent?: (from: string, serial: number, parts: readonly LentAllowance[]) => void;
     /** The states that endpoints have reported to this entry, and a callback for those received from another entry. */
     reportedStates?: () => ReportedState[];
     onReportedStates?: (states: readonly ReportedState[]) => void;
@@ -94,6 +98,8 @@
     /** Whether this entry watches the store for all, so that other groups need all of its heartbeats. */
     isWatcher: () => boolean = () => false;
     private foundEntries = false;
+    /** Entries whose latest heartbeat says that they lend parts of cold endpoints. */
+    private readonly coldLenders = new Set<string>();
     private startedAt: Milliseconds = Infinity;
     /** Whether this entry was able to choose endpoints when it sent its last heartbeat. */
     private announcedPlacing = false;
@@ -181,6 +187,21 @@
         this.sender.sendTo([address], [{ type: "AllowanceLent", serial, allowances }]);
     }
 
+    /** The other living entries that lend their parts of cold endpoints. */
+    livingColdLenders(): readonly PeerAddress[] {
+        return this.livingPeers().map(({ identity }) => identity).filter(({ id }) => this.coldLenders.has(id));
+    }
+
+    /** Asks the entry at `address` for its unused parts of cold endpoints' allowances. */
+    requestColdParts(address: string, serial: number): void {
+        this.sender.sendTo([address], [{ type: "ColdPartsAsked", serial }]);
+    }
+
+    /** Tells the placer at `address` what this entry lends to it. */
+    lendColdParts(address: string, serial: number, parts: LentAllowance[]): void {
+        this.sender.sendTo([address], [{ type: "ColdPartsLent", serial, parts }]);
+    }
+
     /** Changes whenever the set of known entries or their reported state changes. */
     get version(): number {
         return this.registry.version;
@@ -310,6 +331,7 @@
             reportedStates: this.dependencies.reportedStates?.() ?? [],
             crashNews: this.dependencies.crashNews?.(),
             reachesEndpoints: this.dependencies.reachesEndpoints?.() ?? true,
+            lendsColdParts: this.dependencies.lendsColdParts?.() === true ? true : undefined,
         };
     }
 
@@ -333,6 +355,7 @@
         if (contact === Contact.Known) {
             return;
         }
+        this.coldLenders.delete(from.id);
         if (contact === Contact.Restarted) {
             // The work in progress of an earlier incarnation ended with its process. The work of a new entry is kept: this
             // entry has just learned it from another one, and would tell the other placers that it has ended.
@@ -382,6 +405,12 @@
             case "AllowanceReturned":
                 this.dependencies.onAllowanceReturned?.(from.id, update.serial, update.kept);
                 return;
+            case "ColdPartsAsked":
+                this.dependencies.onColdPartsAsked?.(from, update.serial);
+                return;
+            case "ColdPartsLent":
+                this.dependencies.onColdPartsLent?.(from.id, update.serial, update.parts);
+                return;
             case "Stopping":
                 if (this.registry.recordStopping(from.id)) {
                     this.sender.invalidateRecipients();
@@ -402,7 +431,16 @@
         }
     }
 
-    private applyStatus(id: string, { limits, reportedStates = [], crashNews, ...status }: PeerStatus): void {
+    private applyStatus(
+        id: string,
+        { limits, reportedStates = [], crashNews, lendsColdParts, ...status }: PeerStatus,
+    ): void {
+        if (lendsColdParts === true) {
+            this.coldLenders.add(id);
+        }
+        else {
+            this.coldLenders.delete(id);
+        }
         this.dependencies.onLimits?.(limits);
         this.dependencies.onReportedStates?.(reportedStates);
         if (crashNews) {
--- a/src/core/placement/eligibility.ts
+++ b/src/core/placement/eligibility.ts
@@ -2,6 +2,7 @@
  * Decides which endpoints may receive a request from this entry now: by the list of endpoints, by what endpoints reported
  * about themselves, and by this entry's shares of their limits. Every way to an endpoint asks here.
  */
+import type { LentAllowance } from "../../ports/peerChannelPort.js";
 import type { ServiceDefinition } from "../../types/routing.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { ColdBudget } from "../budgets/coldBudget.js";
@@ -19,6 +20,12 @@
 /** Where fewer of a service's endpoints than this accept one more request from this entry, it needs more allowance. */
 const minimumOpenShare = 0.25;
 
+/**
+ * An endpoint that became cold again gets requests by grant only after this time, in which all entries learn of it and
+ * the requests that they sent before leave the counting window.
+ */
+const coldReportDuration: Milliseconds = 2_300;
+
 /** Usable endpoints of a service that this entry may not, or hardly, use now; all others are available. */
 export interface Restrictions {
     /** Endpoints that shut down, that are paused, or that have received this entry's share of their limit. */
@@ -42,6 +49,8 @@
     reportedStates: ReportedStates;
     /** Called when this entry's shares of the limits are used up at most endpoints of a service. */
     onShortage: () => void;
+    /** Called where endpoints of a service are cold; `isShort`: most of them may receive no request from this entry. */
+    onColdDemand?: (isShort: boolean) => void;
 }
 
 /** Filters endpoints by whether they may receive requests from this entry. */
@@ -90,12 +99,14 @@
      * others would be overloaded, and callers rejected.
      */
     restrictions(service: ServiceDefinition): Restrictions {
-        const { coldBudget, directory, limits } = this.dependencies;
+        const { coldBudget, directory, limits, onColdDemand } = this.dependencies;
         const exhausted = new Set<string>();
         const forbiddenCold = new Set<string>();
         const allowedCold = new Set<string>();
         const atLimit: string[] = [];
         let availableCount = 0;
+        let grantableCount = 0;
+        let lackingCount = 0;
         for (const endpoint of directory.usable(service.name)) {
             const { id } = endpoint.record;
             if (!this.accepts(endpoint)) {
@@ -103,7 +114,11 @@
                 continue;
             }
             if (this.isCold(endpoint)) {
-                if (!coldBudget.allows(id, service.coldRequestsPerSecond)) {
+                const takesGrants = this.takesGrants(endpoint);
+                const isAllowed = coldBudget.allows(id, service.coldRequestsPerSecond, takesGrants);
+                grantableCount += Number(takesGrants && isAllowed);
+                lackingCount += Number(takesGrants && !isAllowed);
+                if (!isAllowed) {
                     forbiddenCold.add(id);
                     continue;
                 }
@@ -114,6 +129,9 @@
                 atLimit.push(id);
             }
         }
+        if (grantableCount + lackingCount > 0) {
+            onColdDemand?.(grantableCount < lackingCount);
+        }
         const toleratesExcess = availableCount - atLimit.length < minimumShareWithinLimit * availableCount;
         if (atLimit.length > 0) {
             this.detectShortage(service);
@@ -126,6 +144,28 @@
         return { exhausted, forbiddenCold, allowedCold };
     }
 
+    /** Whether `endpoint` is cold and all entries know it, so that parts of its allowance may be lent. */
+    takesGrants(endpoint: KnownEndpoint): boolean {
+        const { clock, reportedStates } = this.dependencies;
+        const now = clock.now();
+        return now < endpoint.coldUntil
+            || (this.isCold(endpoint) && now - reportedStates.coldSince(endpoint.record) >= coldReportDuration);
+    }
+
+    /** Whether `endpoint`, which takes grants, may receive a request from another entry that asks this one. */
+    mayGrant({ record: { id } }: KnownEndpoint, { coldRequestsPerSecond }: ServiceDefinition): boolean {
+        return this.dependencies.coldBudget.mayGrant(id, coldRequestsPerSecond);
+    }
+
+    /** Cold endpoints of `service` with the requests there that this entry may lend to the placer `borrower`. */
+    lendableParts({ name, coldRequestsPerSecond }: ServiceDefinition, borrower: string): LentAllowance[] {
+        const { coldBudget, directory } = this.dependencies;
+        return directory.usable(name).filter(endpoint => this.takesGrants(endpoint)).map(({ record: { id } }) => ({
+            endpoint: id,
+            count: coldBudget.lendable(id, coldRequestsPerSecond, borrower),
+        }));
+    }
+
     /** Whether a request that waited after its placement may still be sent to `endpoint`. */
     isStillEligible(endpoint: KnownEndpoint): boolean {
         const { directory } = this.dependencies;
--- a/src/core/placement/placementClient.ts
+++ b/src/core/placement/placementClient.ts
@@ -7,6 +7,7 @@
  */
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
+import type { ColdBudget } from "../budgets/coldBudget.js";
 import type { EndpointDirectory, KnownEndpoint } from "../membership/endpointDirectory.js";
 import type { PlacerCandidate } from "../membership/placers.js";
 import type { Metrics } from "../metrics.js";
@@ -57,6 +58,8 @@
     selector: EndpointSelector;
     loads: SharedLoadEstimator;
     peers: PlacerPeers;
+    /** Receives the grants of requests to cold endpoints; undefined where this entry takes none. */
+    grantedColdBudget?: () => Pick<ColdBudget, "receiveGrant" | "dropGrant"> | undefined;
 }
 
 /** A request that needs an endpoint. */
@@ -78,6 +81,7 @@
 interface PlacerAnswer {
     placer: string;
     answer: PlacementAnswer;
+    askedAt: Milliseconds;
 }
 
 type AnswerCallback = (answer: PlacementAnswer | undefined) => void;
@@ -93,18 +97,24 @@
 
     /** Returns the best placement now; undefined when there is none. */
     async choose(request: PlacementRequest): Promise<Placement | undefined> {
-        if (this.dependencies.peers.placersToAsk().length === 0) {
+        const { peers, grantedColdBudget } = this.dependencies;
+        if (peers.placersToAsk().length === 0) {
             return this.chooseLocally(request);
         }
+        grantedColdBudget?.()?.dropGrant(request.id);
         const reply = await this.askPlacers(request, undefined);
         if (reply?.answer.type === "NoEndpoint" && exceedsOneEngine(request.requirements)) {
             // Only the placer knows all work in progress, and so where memory is free.
             return undefined;
         }
         if (reply?.answer.type === "Chosen") {
-            const { placer, answer } = reply;
-            const placement = this.resolvePlacement(request, answer.placement);
+            const { placer, answer, askedAt } = reply;
+            const { coldGrant } = answer;
+            const placement = this.resolvePlacement(request, answer.placement, { isGranted: coldGrant !== undefined });
             if (placement) {
+                if (coldGrant !== undefined) {
+                    grantedColdBudget?.()?.receiveGrant(request.id, answer.placement.endpoint, askedAt + coldGrant);
+                }
                 return this.recordPlacement(request, { ...placement, chosenBy: placer }, true);
             }
             this.rejectPlacement(request, answer.placement);
@@ -117,7 +127,10 @@
     async findAlternative(request: PlacementRequest, endpoint: string): Promise<AlternativePlacement> {
         const answer = (await this.askPlacers(request, endpoint))?.answer;
         if (answer?.type === "Chosen") {
-            return { placement: this.resolvePlacement(request, answer.placement, endpoint), busyFor: answer.busyFor };
+            return {
+                placement: this.resolvePlacement(request, answer.placement, { excludedEndpoint: endpoint }),
+                busyFor: answer.busyFor,
+            };
         }
         const busyFor = prefillWait(this.dependencies.loads.loadOf(endpoint));
         const placement = this.dependencies.selector.select(request.requirements, this.candidates(request, endpoint));
@@ -179,12 +192,13 @@
         request: PlacementRequest,
         excludedEndpoint: string | undefined,
     ): Promise<PlacerAnswer | undefined> {
-        const { peers, log } = this.dependencies;
+        const { clock, peers, log } = this.dependencies;
         const limit = peers.hasUnresponsivePlacers() ? 1 : maximumPlacersAsked;
         for (const { id, address } of peers.placersToAsk().slice(0, limit)) {
+            const askedAt = clock.now();
             const answer = await this.askPlacer(address, request, excludedEndpoint);
             if (answer && answer.type !== "Declined") {
-                return { placer: id, answer };
+                return { placer: id, answer, askedAt };
             }
             peers.recordPlacerTimeout(id);
             log.info("An entry that chooses endpoints gave no answer.", {
@@ -236,7 +250,7 @@
         request: PlacementRequest,
         excludedEndpoint: string | undefined,
     ): PlacementQuestion {
-        const { clock, eligibility } = this.dependencies;
+        const { clock, eligibility, grantedColdBudget } = this.dependencies;
         const {
             service,
             failedEndpoints,
@@ -261,6 +275,7 @@
             age: now - request.arrivedAt,
             endsIn: request.endsBy - now,
             without: excludedEndpoint,
+            takesColdGrants: excludedEndpoint === undefined && grantedColdBudget?.() ? true : undefined,
         };
     }
 
@@ -268,13 +283,15 @@
     private resolvePlacement(
         request: PlacementRequest,
         { endpoint, helpers, shares, ...predictions }: SerializedPlacement,
-        excludedEndpoint?: string,
+        { excludedEndpoint, isGranted = false }: { excludedEndpoint?: string; isGranted?: boolean; },
     ): Placement | undefined {
         const { eligibility } = this.dependencies;
         const { service } = request.requirements;
         const restrictions = eligibility.restrictions(service);
         const find = (id: string) => id === excludedEndpoint ? undefined : eligibility.find(service, restrictions, id);
-        const mainEndpoint = find(endpoint);
+        const mainEndpoint = isGranted
+            ? eligibility.find(service, { ...restrictions, forbiddenCold: new Set() }, endpoint)
+            : find(endpoint);
         const helperEndpoints = helpers.map(id => find(id)).filter(helper => helper !== undefined);
         if (!mainEndpoint || helperEndpoints.length !== helpers.length) {
             return undefined;
--- a/src/core/placement/placementQuestion.ts
+++ b/src/core/placement/placementQuestion.ts
@@ -26,6 +26,8 @@
     endsIn: Milliseconds;
     /** An endpoint that has been unresponsive for long: the placer does not choose it, and records no placement. */
     without: string | undefined;
+    /** Whether the asking entry sends to a cold endpoint by grant. Missing in messages of earlier versions. */
+    takesColdGrants?: boolean;
 }
 
 /** A placement with endpoint ids instead of endpoints. */
@@ -42,5 +44,14 @@
     | { type: "Declined"; serial: number; }
     /** No endpoint may receive the request, or none has the memory. */
     | { type: "NoEndpoint"; serial: number; }
-    /** `busyFor` is the time that the endpoint excluded by the question still needs for its prefills. */
-    | { type: "Chosen"; serial: number; placement: SerializedPlacement; busyFor: Milliseconds; };
+    /**
+     * `busyFor` is the time that the endpoint excluded by the question still needs for its prefills. `coldGrant`, if present,
+     * allows the request to the chosen endpoint, which is cold, for this time from when the entry asked.
+     */
+    | {
+        type: "Chosen";
+        serial: number;
+        placement: SerializedPlacement;
+        busyFor: Milliseconds;
+        coldGrant?: Milliseconds;
+    };
--- a/src/core/placement/placementServer.ts
+++ b/src/core/placement/placementServer.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../../utils/clock.js";
 import type { RouteTable } from "../configuration/routeTable.js";
 import type { EndpointDirectory, KnownEndpoint } from "../membership/endpointDirectory.js";
+import type { ColdGranter } from "./coldGranter.js";
 import type { Eligibility } from "./eligibility.js";
 import type { EndpointSelector, Placement } from "./endpointSelector.js";
 import { prefillWait } from "./loadEstimator.js";
@@ -20,6 +21,8 @@
     dataCentre: string;
     /** Whether this entry is a placer and so receives the placements of the others. */
     isPlacer: () => boolean;
+    /** Cold endpoints to which other entries send by grants of this one. */
+    coldGranter: ColdGranter;
 }
 
 /** Chooses endpoints for the requests of other entries. */
@@ -31,7 +34,7 @@
      * the request is sent.
      */
     answer(owner: string, question: PlacementQuestion): PlacementAnswer {
-        const { clock, loads, selector, routes, dataCentre, isPlacer } = this.dependencies;
+        const { clock, loads, selector, routes, dataCentre, isPlacer, coldGranter } = this.dependencies;
         const { serial, without, requestId, promptTokens, targetGap, customer, endsIn } = question;
         const service = routes()?.service(question.service);
         if (!service || !isPlacer()) {
@@ -45,7 +48,12 @@
             rejectedEndpoints: new Set(question.refused),
             endpointsWithoutMemory: new Set(question.lacking),
         };
-        const placement = selector.select(requirements, this.candidates(question));
+        const { placement, coldGrant } = coldGranter.select(
+            question,
+            service,
+            candidates => selector.select(requirements, candidates),
+            this.candidates(question),
+        );
         if (!placement) {
             return { type: "NoEndpoint", serial };
         }
@@ -60,6 +68,7 @@
             serial,
             placement: serializePlacement(placement),
             busyFor: this.remainingPrefillTime(without),
+            coldGrant,
         };
     }
 
--- a/src/ports/peerChannelPort.ts
+++ b/src/ports/peerChannelPort.ts
@@ -145,6 +145,8 @@
     crashNews?: CrashNews;
     /** Whether the entry can connect to endpoints. Missing in messages of earlier versions. */
     reachesEndpoints?: boolean;
+    /** Whether the entry answers `ColdPartsAsked`. Missing in messages of earlier versions, which don't know that message. */
+    lendsColdParts?: boolean;
 }
 
 /** One update from an entry to its peers. */
@@ -165,6 +167,9 @@
     | { type: "AllowanceLent"; serial: number; allowances: LentAllowance[]; }
     /** What the sender keeps of a loan; the rest is given back. */
     | { type: "AllowanceReturned"; serial: number; kept: LentAllowance[]; }
+    /** Asks for the receiver's unused parts of cold endpoints' allowances, and the answer. */
+    | { type: "ColdPartsAsked"; serial: number; }
+    | { type: "ColdPartsLent"; serial: number; parts: LentAllowance[]; }
     | { type: "Stopping"; }
     /** Asks for the entries that the receiver knows. */
     | { type: "Greeting"; }
