Entries ask the next placer for grants after one that found no endpoint

Cause: an entry that gets most connections asks one placer, and the other eight keep the parts that they borrowed. Change: while cold endpoints take requests only by grant, the placer that found no endpoint is asked last.

--- a/src/core/placement/placementClient.ts
+++ b/src/core/placement/placementClient.ts
@@ -89,6 +89,8 @@
 /** Chooses endpoints for this entry's requests. */
 export class PlacementClient {
     private lastSerial = 0;
+    /** Answers that found no endpoint. */
+    private placersWithoutEndpoint = 0;
     private readonly pendingAnswers = new Map<number, AnswerCallback>();
     /** Ids of the requests whose question timed out, by the question's serial number. */
     private readonly requestIdByLateQuestion = new Map<number, string>();
@@ -194,10 +196,11 @@
     ): Promise<PlacerAnswer | undefined> {
         const { clock, peers, log } = this.dependencies;
         const limit = peers.hasUnresponsivePlacers() ? 1 : maximumPlacersAsked;
-        for (const { id, address } of peers.placersToAsk().slice(0, limit)) {
+        for (const { id, address } of this.placersFor(request).slice(0, limit)) {
             const askedAt = clock.now();
             const answer = await this.askPlacer(address, request, excludedEndpoint);
             if (answer && answer.type !== "Declined") {
+                this.placersWithoutEndpoint += Number(answer.type === "NoEndpoint");
                 return { placer: id, answer, askedAt };
             }
             peers.recordPlacerTimeout(id);
@@ -210,6 +213,20 @@
         return undefined;
     }
 
+    /**
+     * Returns the placers in the order in which they are asked. While cold endpoints take requests only by grant, a placer
+     * that found no endpoint is asked last: an entry that gets most connections would use the grants of one placer only.
+     */
+    private placersFor({ requirements: { service } }: PlacementRequest): readonly PlacerCandidate[] {
+        const { peers, eligibility, grantedColdBudget } = this.dependencies;
+        const placers = peers.placersToAsk();
+        if (!grantedColdBudget?.() || eligibility.restrictions(service).forbiddenCold.size === 0) {
+            return placers;
+        }
+        const first = this.placersWithoutEndpoint % placers.length;
+        return [...placers.slice(first), ...placers.slice(0, first)];
+    }
+
     private askPlacer(
         address: string,
         request: PlacementRequest,
