Placers keep waiting requests and push their placements

A prompt that can't be placed now waits at the first placer of its service by rendezvous hashing, or in the entry's own queue where entries choose for themselves. A question is asked again with the same serial number, so that a lost answer gives the same placement. WaitWithdrawn goes only to placers that answered Waiting, so earlier builds never receive it.

--- a/__tests__/forwarding/placementClient.test.ts
+++ b/__tests__/forwarding/placementClient.test.ts
@@ -13,6 +13,8 @@
 import { PlacementClient, type PlacementRequest } from "../../src/core/placement/placementClient.js";
 import type { PlacementQuestion, SerializedPlacement } from "../../src/core/placement/placementQuestion.js";
 import { type LoadUpdate, SharedLoadEstimator } from "../../src/core/placement/sharedLoadEstimator.js";
+import { WaitQueue } from "../../src/core/waiting/waitQueue.js";
+import { WaitScheduler } from "../../src/core/waiting/waitScheduler.js";
 import { SimulatedClock } from "../../src/replay/simulatedClock.js";
 import { type EndpointRecord, EndpointState } from "../../src/types/routing.js";
 import { silentLog } from "../../src/utils/log.js";
@@ -76,11 +78,20 @@
             }),
             selector: new EndpointSelector(loads, new FailureTracker(clock, silentLog, "entry-1"), seededRandom(1)),
             loads,
+            waitScheduler: new WaitScheduler({
+                clock,
+                random: seededRandom(1),
+                log: silentLog,
+                metrics: new Metrics(),
+                queue: new WaitQueue(() => false),
+            }),
             peers: {
                 placersToAsk: () => placers,
                 hasUnresponsivePlacers: () => false,
                 recordPlacerTimeout: id => this.unresponsivePlacers.push(id),
                 requestPlacement: (...[, question]) => this.questions.push(question),
+                waitPlacer: () => ({ type: "None" }),
+                withdrawWaiter: () => {},
             },
         });
         this.list({ a: EndpointState.Ready, b: EndpointState.Ready });
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -391,6 +391,7 @@
             known_endpoint_crashes: this.core.quarantine.crashCount,
             quarantined_requests: this.core.quarantine.count,
             reaches_endpoints: this.core.links.isCutOff ? 0 : 1,
+            ...this.core.waitScheduler.gauges(),
             carried_connections: this.core.relayGuard.openConnections,
             resident_memory_bytes: process.memoryUsage.rss(),
             processor_milliseconds_total: Math.round((user + system) / 1_000),
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -104,6 +104,7 @@
     rank: z.number().optional(),
     customer: z.string().optional(),
     age: z.number().optional(),
+    mayWait: z.boolean().optional(),
 });
 const placementSchema = z.object({
     endpoint: z.string(),
@@ -121,6 +122,7 @@
 const placementAnswerSchema = z.discriminatedUnion("type", [
     z.object({ type: z.literal("Declined"), serial: z.number() }),
     z.object({ type: z.literal("NoEndpoint"), serial: z.number() }),
+    z.object({ type: z.literal("Waiting"), serial: z.number(), renewIn: z.number() }),
     z.object({ type: z.literal("Chosen"), serial: z.number(), placement: placementSchema, busyFor: z.number() }),
 ]);
 
@@ -142,6 +144,7 @@
         z.object({ type: z.literal("Outcome"), endpoint: z.string(), fate: z.enum(SendResult) }),
         z.object({ type: z.literal("PlacementAsked"), question: placementQuestionSchema }),
         z.object({ type: z.literal("PlacementAnswered"), answer: placementAnswerSchema }),
+        z.object({ type: z.literal("WaitWithdrawn"), requestId: z.string() }),
         z.object({ type: z.literal("AllowanceAsked"), serial: z.number() }),
         z.object({ type: z.literal("AllowanceLent"), serial: z.number(), allowances: z.array(lentAllowanceSchema) }),
         z.object({ type: z.literal("AllowanceReturned"), serial: z.number(), kept: z.array(lentAllowanceSchema) }),
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -44,6 +44,9 @@
 import { RelayingMemoryPort } from "./reachability/relayingMemoryPort.js";
 import { Relays } from "./reachability/relays.js";
 import { SchedulingPolicy, type SchedulingSettings } from "./scheduling/schedulingPolicy.js";
+import type { IsOverShare } from "./waiting/waitOrder.js";
+import { WaitQueue } from "./waiting/waitQueue.js";
+import { WaitScheduler } from "./waiting/waitScheduler.js";
 
 export interface EntryCoreDependencies {
     clock: Clock;
@@ -60,6 +63,8 @@
     publishesPlacements: boolean;
     /** Which optional parts of the scheduling are on. */
     scheduling: () => SchedulingSettings;
+    /** Whether a customer uses more than its share of a service; without it, no customer does. */
+    isOverShare?: IsOverShare;
     /** Number of processor cores of this entry's instance. */
     processors?: number;
     retryLimits: () => RetryLimits;
@@ -96,6 +101,8 @@
     readonly relayGuard: RelayGuard;
     readonly forwarder: Forwarder;
     readonly schedulingPolicy: SchedulingPolicy;
+    /** The wait queue of this entry. */
+    readonly waitScheduler: WaitScheduler;
     private readonly loans: AllowanceLoans;
     private readonly failures: FailureTracker;
     private readonly placementClient: PlacementClient;
@@ -144,6 +151,7 @@
             onOutcome: (from, endpoint, fate) => this.applyPeerOutcome(from, endpoint, fate),
             onPlacementAsked: (from, question) => placementServer.answer(from, question),
             onPlacementAnswered: answer => this.placementClient.receiveAnswer(answer),
+            onWaitWithdrawn: (from, requestId) => placementServer.withdraw(from, requestId),
         });
         this.failures.publish = (update, isConnectionRefused) => this.peers.publishOutcome(update, isConnectionRefused);
         this.loads.serviceOf = endpoint => this.directory.find(endpoint)?.record.service;
@@ -210,6 +218,14 @@
             endedProcesses.recordReplaced(previous);
         };
         directory.onGone = endpoint => void endedProcesses.verify(endpoint);
+        this.waitScheduler = new WaitScheduler({
+            clock,
+            random,
+            log: log("waiting"),
+            metrics,
+            queue: new WaitQueue(dependencies.isOverShare ?? (() => false)),
+        });
+        const { waitScheduler } = this;
         this.placementClient = new PlacementClient({
             clock,
             log: log("placing"),
@@ -220,6 +236,7 @@
             selector,
             loads,
             peers,
+            waitScheduler,
         });
         const placementServer = new PlacementServer({
             clock,
@@ -230,6 +247,9 @@
             loads,
             dataCentre,
             isPlacer: () => peers.placers().self,
+            usesQueue: service => this.schedulingPolicy.usesRanks(service),
+            waitScheduler,
+            push: (entry, answer) => peers.pushPlacementAnswer(entry, answer),
         });
         this.quarantineKeeper = new QuarantineKeeper({
             clock,
--- a/src/core/forwarding/endpointSearch.ts
+++ b/src/core/forwarding/endpointSearch.ts
@@ -2,12 +2,11 @@
  * Finds an endpoint for one request. Postpones the request while waiting gives a better placement, and rejects it when no
  * endpoint can serve it in time.
  */
-import type { EngineProfile } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import { FailureKind } from "../failures.js";
-import { exceedsOneEngine, type Placement } from "../placement/endpointSelector.js";
-import { prefillDuration } from "../placement/engineCost.js";
-import type { PlacementRequest } from "../placement/placementClient.js";
+import type { Placement } from "../placement/endpointSelector.js";
+import type { PlacementRequest, WaitTerms } from "../placement/placementClient.js";
+import { canMemoryBecomeFree, isInTimeAfterWait, mayHaveToWait } from "../waiting/waitPolicy.js";
 import {
     busyRetrySeconds,
     type Rejection,
@@ -18,29 +17,14 @@
 import type { QuarantineGate } from "./quarantineGate.js";
 import { maximumMemoryRetryDelay, type RequestProgress } from "./requestProgress.js";
 
-/**
- * Remaining patience with which a prompt always waits for memory. The longest prompts take longer to prefill on the fewest
- * engines that hold them, but more engines may be free.
- */
-const sufficientPatienceForMemory: Milliseconds = 1_500;
-/** Safety factor on the predicted first event of a postponed request, because predictions are less accurate under high load. */
-const postponedPredictionFactor = 1.5;
-
-/** Least remaining patience for a prompt to wait for memory. With less time left it could no longer be prefilled. */
-const minimumPatienceForMemory = (engine: EngineProfile, promptTokens: number, answerTokens: number): Milliseconds => {
-    const fewestEngines = Math.ceil((promptTokens + answerTokens) / engine.memoryTokens);
-    const prefillTime = prefillDuration(engine, promptTokens) / fewestEngines;
-    return Math.min(
-        sufficientPatienceForMemory,
-        postponedPredictionFactor * prefillTime + maximumMemoryRetryDelay,
-    );
-};
-
 /** The search for the endpoints of one request. */
 export class EndpointSearch {
     private wasPostponed = false;
+    private readonly waitTerms: WaitTerms;
 
-    constructor(private readonly progress: RequestProgress, private readonly quarantineGate: QuarantineGate) {}
+    constructor(private readonly progress: RequestProgress, private readonly quarantineGate: QuarantineGate) {
+        this.waitTerms = { signal: progress.ended, onWaiting: () => this.recordPostponed(undefined) };
+    }
 
     /** Resolves with the placement of the next attempt. Throws a {@link RequestFailure} when there is none. */
     async nextPlacement(): Promise<Placement> {
@@ -75,7 +59,8 @@
             endpointsWithoutMemory: this.progress.attempts.endpointsWithoutMemory,
         };
         const { id, arrivedAt } = this.progress.request;
-        return { id, requirements, arrivedAt, endsBy: deadline };
+        const mayWait = schedulingPolicy.usesRanks(service.name) && mayHaveToWait(requirements);
+        return { id, requirements, arrivedAt, endsBy: deadline, wait: mayWait ? this.waitTerms : undefined };
     }
 
     /** When the caller of a request that an endpoint refused should return. */
@@ -92,7 +77,11 @@
 
     /** Resolves with undefined when no endpoint has enough free memory now but some may become free soon. */
     private async choosePlacement(): Promise<Placement | undefined> {
-        const placement = await this.progress.dependencies.placementClient.choose(this.placementRequest);
+        const request = this.placementRequest;
+        const placement = await this.progress.dependencies.placementClient.choose(request);
+        if (!placement && request.wait) {
+            this.progress.throwIfEnded();
+        }
         if (!placement && this.progress.attempts.endpointsWithoutMemory.size > 0 && !this.progress.ended.aborted) {
             this.progress.attempts.clearMemoryShortages();
             return await this.choosePlacement();
@@ -109,12 +98,9 @@
 
     private canMemoryBecomeFree(): boolean {
         const request = this.placementRequest;
-        const { service: { engine }, promptTokens, answerTokens } = request.requirements;
         const candidates = this.progress.dependencies.placementClient.candidates(request)
             .filter(({ record }) => !this.progress.attempts.refusedEndpoints.has(record.id));
-        return engine !== undefined && exceedsOneEngine(request.requirements)
-            && promptTokens + answerTokens <= engine.memoryTokens * candidates.length
-            && this.progress.patienceLeft > minimumPatienceForMemory(engine, promptTokens, answerTokens);
+        return canMemoryBecomeFree(request.requirements, candidates.length, maximumMemoryRetryDelay);
     }
 
     /** Returns the placement, or releases it and throws when the request can't end in time. */
@@ -145,11 +131,16 @@
      * Whether the first event would still arrive within the patience of the caller if the request were sent after one more
      * delay.
      */
-    private canPostpone({ firstEvent, firstEventAfterWait = firstEvent }: Placement): boolean {
-        return postponedPredictionFactor * firstEventAfterWait + maximumMemoryRetryDelay < this.progress.patienceLeft;
+    private canPostpone(placement: Placement): boolean {
+        return isInTimeAfterWait(placement, this.progress.patienceLeft, maximumMemoryRetryDelay);
     }
 
     private async postpone(firstEvent: Milliseconds | undefined): Promise<void> {
+        this.recordPostponed(firstEvent);
+        await this.progress.waitBeforeMemoryRetry();
+    }
+
+    private recordPostponed(firstEvent: Milliseconds | undefined): void {
         if (!this.wasPostponed) {
             this.wasPostponed = true;
             this.progress.dependencies.metrics.count("postponed_total");
@@ -158,6 +149,5 @@
                 predicted: firstEvent && Math.round(firstEvent),
             });
         }
-        await this.progress.waitBeforeMemoryRetry();
     }
 }
--- a/src/core/membership/peers.ts
+++ b/src/core/membership/peers.ts
@@ -22,6 +22,7 @@
 import { type OutcomeUpdate, SendResult } from "../placement/failureTracker.js";
 import type { PlacementAnswer, PlacementQuestion } from "../placement/placementQuestion.js";
 import type { LoadUpdate, SharedLoadEstimator } from "../placement/sharedLoadEstimator.js";
+import { chooseWaitPlacer, type WaitPlacer } from "../waiting/waitPlacer.js";
 import { HeartbeatSender } from "./heartbeatSender.js";
 import { Contact, type LivingPeer, PeerRegistry } from "./peerRegistry.js";
 import { type PlacerCandidate, PlacerRoster, type PlacerSet, receivesAllPlacements } from "./placers.js";
@@ -83,6 +84,8 @@
     /** Called when another entry asks for the placement of a request, and with the answer to this entry's own question. */
     onPlacementAsked?: (from: string, question: PlacementQuestion) => PlacementAnswer;
     onPlacementAnswered?: (answer: PlacementAnswer) => void;
+    /** Called when a request of another entry waits no longer. */
+    onWaitWithdrawn?: (from: string, requestId: string) => void;
 }
 
 /** Exchanges updates with the other entries. */
@@ -150,6 +153,11 @@
         return everyone || self ? [] : asked;
     }
 
+    /** The entry that keeps the wait queue of a service. */
+    waitPlacer(service: string): WaitPlacer {
+        return chooseWaitPlacer(service, this.dependencies.self.id, this.roster.current());
+    }
+
     /** Whether any placer is in back-off. */
     hasUnresponsivePlacers(): boolean {
         const { others, asked } = this.roster.current();
@@ -166,6 +174,19 @@
         this.sender.sendTo([address], [{ type: "PlacementAsked", question }]);
     }
 
+    /** Sends an answer to an entry whose request has waited here. An entry that is gone doesn't get it. */
+    pushPlacementAnswer(entry: string, answer: PlacementAnswer): void {
+        const owner = this.registry.living().find(({ identity }) => identity.id === entry);
+        if (owner) {
+            this.sender.sendTo([owner.identity.address], [{ type: "PlacementAnswered", answer }]);
+        }
+    }
+
+    /** Tells the placer at `address` that a request waits no longer. */
+    withdrawWaiter(address: string, requestId: string): void {
+        this.sender.sendTo([address], [{ type: "WaitWithdrawn", requestId }]);
+    }
+
     /** Asks the entry at `address` for a part of its unused shares of endpoints' limits. */
     requestAllowance(address: string, serial: number): void {
         this.sender.sendTo([address], [{ type: "AllowanceAsked", serial }]);
@@ -373,6 +394,9 @@
             case "PlacementAnswered":
                 this.dependencies.onPlacementAnswered?.(update.answer);
                 return;
+            case "WaitWithdrawn":
+                this.dependencies.onWaitWithdrawn?.(from.id, update.requestId);
+                return;
             case "AllowanceAsked":
                 this.dependencies.onAllowanceAsked?.(from, update.serial);
                 return;
--- a/src/core/placement/placementClient.ts
+++ b/src/core/placement/placementClient.ts
@@ -10,6 +10,8 @@
 import type { EndpointDirectory, KnownEndpoint } from "../membership/endpointDirectory.js";
 import type { PlacerCandidate } from "../membership/placers.js";
 import type { Metrics } from "../metrics.js";
+import { WaitClient, type WaitPeers } from "../waiting/waitClient.js";
+import type { WaitScheduler } from "../waiting/waitScheduler.js";
 import type { Eligibility } from "./eligibility.js";
 import {
     type EndpointSelector,
@@ -35,14 +37,9 @@
 const maximumLateQuestions = 64;
 
 /** Access to the placers among the peers. */
-export interface PlacerPeers {
+export interface PlacerPeers extends WaitPeers {
     /** Placers to ask now, in this order; empty where this entry chooses itself. */
     placersToAsk(): readonly PlacerCandidate[];
-    /** Whether some placers did not answer recently. */
-    hasUnresponsivePlacers(): boolean;
-    /** Records that a placer did not answer. */
-    recordPlacerTimeout(id: string): void;
-    requestPlacement(address: string, question: PlacementQuestion): void;
 }
 
 /** Dependencies of {@link PlacementClient}. */
@@ -57,6 +54,7 @@
     selector: EndpointSelector;
     loads: SharedLoadEstimator;
     peers: PlacerPeers;
+    waitScheduler: WaitScheduler;
 }
 
 /** A request that needs an endpoint. */
@@ -66,6 +64,16 @@
     /** When the request arrived, and by when it has ended at the latest. */
     arrivedAt: Milliseconds;
     endsBy: Milliseconds;
+    /** Set where the request may wait in the queue of its service. */
+    wait?: WaitTerms;
+}
+
+/** How a request waits in a queue. */
+export interface WaitTerms {
+    /** Aborts when the request has ended. */
+    signal: AbortSignal;
+    /** Called when the wait begins. */
+    onWaiting: () => void;
 }
 
 /** Where a request could move from an unresponsive endpoint, and how long that endpoint still needs for its prefills. */
@@ -88,26 +96,63 @@
     private readonly pendingAnswers = new Map<number, AnswerCallback>();
     /** Ids of the requests whose question timed out, by the question's serial number. */
     private readonly requestIdByLateQuestion = new Map<number, string>();
+    private readonly waitClient: WaitClient;
 
-    constructor(private readonly dependencies: PlacementClientDependencies) {}
+    constructor(private readonly dependencies: PlacementClientDependencies) {
+        const { loads, selector, waitScheduler } = dependencies;
+        this.waitClient = new WaitClient({
+            ...dependencies,
+            scheduler: waitScheduler,
+            select: request => selector.select(request.requirements, this.candidates(request)),
+            record: (request, placement) => this.recordPlacement(request, placement, false),
+            countCandidates: request => this.candidates(request).length,
+            nextSerial: () => ++this.lastSerial,
+            buildQuestion: (serial, request) => this.buildQuestion(serial, request, undefined),
+            accept: (request, placement, placer) => this.accept(request, placement, placer),
+            chooseLocally: request => this.chooseLocally(request),
+            handleNoEndpoint: request => this.handleNoEndpoint(request),
+            release: (endpoints, requestId) => loads.recordEnded(endpoints, requestId),
+        });
+    }
 
-    /** Returns the best placement now; undefined when there is none. */
+    /** Returns the best placement now, or after a wait; undefined when there is none. */
     async choose(request: PlacementRequest): Promise<Placement | undefined> {
+        if (request.wait) {
+            return await this.waitClient.choose(request, request.wait);
+        }
         if (this.dependencies.peers.placersToAsk().length === 0) {
             return this.chooseLocally(request);
         }
         const reply = await this.askPlacers(request, undefined);
-        if (reply?.answer.type === "NoEndpoint" && exceedsOneEngine(request.requirements)) {
-            // Only the placer knows all work in progress, and so where memory is free.
-            return undefined;
+        if (reply?.answer.type === "NoEndpoint") {
+            return this.handleNoEndpoint(request);
         }
         if (reply?.answer.type === "Chosen") {
-            const { placer, answer } = reply;
-            const placement = this.resolvePlacement(request, answer.placement);
-            if (placement) {
-                return this.recordPlacement(request, { ...placement, chosenBy: placer }, true);
-            }
-            this.rejectPlacement(request, answer.placement);
+            return this.accept(request, reply.answer.placement, reply.placer);
+        }
+        this.dependencies.metrics.count("placements_without_placer_total");
+        return this.chooseLocally(request);
+    }
+
+    /** Uses a placer's choice, or chooses locally where it contradicts this entry's newer information. */
+    private accept(
+        request: PlacementRequest,
+        serialized: SerializedPlacement,
+        placer: string,
+    ): Placement | undefined {
+        const placement = this.resolvePlacement(request, serialized);
+        if (placement) {
+            return this.recordPlacement(request, { ...placement, chosenBy: placer }, true);
+        }
+        this.rejectPlacement(request, serialized);
+        this.dependencies.metrics.count("placements_without_placer_total");
+        return this.chooseLocally(request);
+    }
+
+    private handleNoEndpoint(request: PlacementRequest): Placement | undefined {
+        if (exceedsOneEngine(request.requirements)) {
+            // Only the placer knows all work in progress, and so where memory is free.
+            return undefined;
         }
         this.dependencies.metrics.count("placements_without_placer_total");
         return this.chooseLocally(request);
@@ -126,6 +171,9 @@
 
     /** Receives a placer's answer. A late answer's placement is undone, as the request went elsewhere. */
     receiveAnswer(answer: PlacementAnswer): void {
+        if (this.waitClient.receiveAnswer(answer)) {
+            return;
+        }
         const resolveAnswer = this.pendingAnswers.get(answer.serial);
         if (resolveAnswer) {
             resolveAnswer(answer);
--- a/src/core/placement/placementQuestion.ts
+++ b/src/core/placement/placementQuestion.ts
@@ -24,6 +24,8 @@
     age?: Milliseconds;
     /** Time until the request has ended at the latest. */
     endsIn: Milliseconds;
+    /** Whether the placer may let the request wait for capacity. Missing in messages of earlier versions. */
+    mayWait?: boolean;
     /** An endpoint that has been unresponsive for long: the placer does not choose it, and records no placement. */
     without: string | undefined;
 }
@@ -42,5 +44,7 @@
     | { type: "Declined"; serial: number; }
     /** No endpoint may receive the request, or none has the memory. */
     | { type: "NoEndpoint"; serial: number; }
+    /** The request waits. The placer sends a placement with the same serial when there is capacity. */
+    | { type: "Waiting"; serial: number; renewIn: Milliseconds; }
     /** `busyFor` is the time that the endpoint excluded by the question still needs for its prefills. */
     | { type: "Chosen"; serial: number; placement: SerializedPlacement; busyFor: Milliseconds; };
--- a/src/core/placement/placementServer.ts
+++ b/src/core/placement/placementServer.ts
@@ -1,7 +1,10 @@
 /** Answers placement questions of other entries on a placer. */
+import type { ServiceDefinition } from "../../types/routing.js";
 import type { Clock } from "../../utils/clock.js";
 import type { RouteTable } from "../configuration/routeTable.js";
 import type { EndpointDirectory, KnownEndpoint } from "../membership/endpointDirectory.js";
+import type { WaitScheduler } from "../waiting/waitScheduler.js";
+import { WaitServer } from "../waiting/waitServer.js";
 import type { Eligibility } from "./eligibility.js";
 import type { EndpointSelector, Placement } from "./endpointSelector.js";
 import { prefillWait } from "./loadEstimator.js";
@@ -20,23 +23,54 @@
     dataCentre: string;
     /** Whether this entry is a placer and so receives the placements of the others. */
     isPlacer: () => boolean;
+    /** Whether requests of a service wait in a queue, the queue, and a callback that sends an answer to an entry. */
+    usesQueue: (service: string) => boolean;
+    waitScheduler: WaitScheduler;
+    push: (entry: string, answer: PlacementAnswer) => void;
 }
 
 /** Chooses endpoints for the requests of other entries. */
 export class PlacementServer {
-    constructor(private readonly dependencies: PlacementServerDependencies) {}
+    private readonly waitServer: WaitServer;
+
+    constructor(private readonly dependencies: PlacementServerDependencies) {
+        const { clock, waitScheduler, loads, push } = dependencies;
+        this.waitServer = new WaitServer({
+            clock,
+            scheduler: waitScheduler,
+            select: (question, service) => this.select(question, service),
+            countCandidates: question => this.candidates(question).length,
+            grant: (owner, question, placement) => this.grant(owner, question, placement),
+            release: (endpoints, requestId) => loads.recordEnded(endpoints, requestId),
+            push,
+        });
+    }
 
     /**
      * Chooses endpoints for a request of `owner` and records the placement at once, as the next question arrives before
      * the request is sent.
      */
     answer(owner: string, question: PlacementQuestion): PlacementAnswer {
-        const { clock, loads, selector, routes, dataCentre, isPlacer } = this.dependencies;
-        const { serial, without, requestId, promptTokens, targetGap, customer, endsIn } = question;
+        const { routes, isPlacer, usesQueue } = this.dependencies;
+        const { serial, without } = question;
         const service = routes()?.service(question.service);
         if (!service || !isPlacer()) {
             return { type: "Declined", serial };
         }
+        if (question.mayWait && without === undefined && usesQueue(service.name)) {
+            return this.waitServer.answer(owner, question, service);
+        }
+        const placement = this.select(question, service);
+        return placement ? this.grant(owner, question, placement) : { type: "NoEndpoint", serial };
+    }
+
+    /** Drops the waiter of a request of `owner`. */
+    withdraw(owner: string, requestId: string): void {
+        this.waitServer.withdraw(owner, requestId);
+    }
+
+    private select(question: PlacementQuestion, service: ServiceDefinition): Placement | undefined {
+        const { selector, dataCentre } = this.dependencies;
         const requirements = {
             ...question,
             service,
@@ -45,10 +79,12 @@
             rejectedEndpoints: new Set(question.refused),
             endpointsWithoutMemory: new Set(question.lacking),
         };
-        const placement = selector.select(requirements, this.candidates(question));
-        if (!placement) {
-            return { type: "NoEndpoint", serial };
-        }
+        return selector.select(requirements, this.candidates(question));
+    }
+
+    private grant(owner: string, question: PlacementQuestion, placement: Placement): PlacementAnswer {
+        const { clock, loads } = this.dependencies;
+        const { serial, without, requestId, promptTokens, targetGap, customer, endsIn } = question;
         if (without === undefined && !placement.postponed) {
             const endsBy = clock.now() + endsIn;
             loads.recordPlaced(
--- a/src/ports/peerChannelPort.ts
+++ b/src/ports/peerChannelPort.ts
@@ -160,6 +160,8 @@
     | OutcomeUpdate
     | { type: "PlacementAsked"; question: PlacementQuestion; }
     | { type: "PlacementAnswered"; answer: PlacementAnswer; }
+    /** The request of the sender waits no longer. Sent only to placers that answered that it waits. */
+    | { type: "WaitWithdrawn"; requestId: string; }
     /** Asks for a part of the receiver's unused shares of endpoints' limits, and the answer. */
     | { type: "AllowanceAsked"; serial: number; }
     | { type: "AllowanceLent"; serial: number; allowances: LentAllowance[]; }
