--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -60,6 +60,8 @@
     lines: ReplayLogLine[];
     /** Number of datagrams that entries sent to one another during the traffic. */
     datagrams: number;
+    /** Number of placement questions among all datagrams. */
+    placementQuestions: number;
     /** Arrivals of requests at endpoints, with times from the start of traffic. */
     arrivals: EndpointArrival[];
     /** Responses that reported that their endpoint shuts down, with times from the start of traffic. */
@@ -159,6 +161,7 @@
             records: records.sort((left, right) => left.arrival.at - right.arrival.at),
             lines,
             datagrams,
+            placementQuestions: this.entries.sentQuestionCount,
             arrivals,
             leavingReports,
             crashes: this.fleet.crashes.map(crash => sinceTraffic(crash)),
--- a/src/replay/simulatedEntries.ts
+++ b/src/replay/simulatedEntries.ts
@@ -40,6 +40,9 @@
 const retryLimits = { share: 0.2, window: 10_000, extra: 100 };
 const coldStartLimits = { factor: 1.5, extra: 5 };
 
+const countQuestions = ({ messages }: PeerPacket): number =>
+    messages.flatMap(({ news }) => news).filter(({ type }) => type === "PlacementAsked").length;
+
 /** All entries of a replay. */
 export class SimulatedEntries {
     readonly entries: readonly EntryCore[];
@@ -68,6 +71,8 @@
     cutDataCentres = false;
     /** Number of datagrams that all entries have sent. */
     sentDatagramCount = 0;
+    /** Number of placement questions among them. */
+    sentQuestionCount = 0;
 
     /** Activates a configuration at all entries. */
     adoptConfiguration(configuration: RoutingConfiguration): void {
@@ -146,6 +151,7 @@
             send: (addresses: readonly string[], packet: PeerPacket) => {
                 for (const address of addresses) {
                     this.sentDatagramCount++;
+                    this.sentQuestionCount += countQuestions(packet);
                     const isLost = random.next() < loss || this.isCut(from, address);
                     if (!isLost) {
                         clock.after(delay, () => this.entryByAddress.get(address)?.peers.receive(packet));
