--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -405,6 +405,7 @@
             known_endpoint_crashes: this.core.quarantine.crashCount,
             quarantined_requests: this.core.quarantine.count,
             reaches_endpoints: this.core.links.isCutOff ? 0 : 1,
+            ...this.core.waitScheduler.gauges(),
             carried_connections: this.core.relayGuard.openConnections,
             buffered_bytes: this.core.memoryGuard.heldBytes,
             buffered_bytes_bound: Math.round(this.core.memoryGuard.boundBytes),
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -116,6 +116,7 @@
     customer: z.string().optional(),
     age: z.number().optional(),
     takesColdGrants: z.boolean().optional(),
+    mayWait: z.boolean().optional(),
 });
 const placementSchema = z.object({
     endpoint: z.string(),
@@ -140,6 +141,7 @@
         busyFor: z.number(),
         coldGrant: z.number().optional(),
     }),
+    z.object({ type: z.literal("Waiting"), serial: z.number(), renewIn: z.number() }),
 ]);
 
 const lentAllowanceSchema = z.object({ endpoint: z.string(), count: z.number().int().min(0) });
@@ -160,6 +162,7 @@
         z.object({ type: z.literal("Outcome"), endpoint: z.string(), fate: z.enum(SendResult) }),
         z.object({ type: z.literal("PlacementAsked"), question: placementQuestionSchema }),
         z.object({ type: z.literal("PlacementAnswered"), answer: placementAnswerSchema }),
+        z.object({ type: z.literal("WaitWithdrawn"), requestId: z.string() }),
         z.object({ type: z.literal("AllowanceAsked"), serial: z.number() }),
         z.object({ type: z.literal("AllowanceLent"), serial: z.number(), allowances: z.array(lentAllowanceSchema) }),
         z.object({ type: z.literal("AllowanceReturned"), serial: z.number(), kept: z.array(lentAllowanceSchema) }),
--- a/src/commands/replay.ts
+++ b/src/commands/replay.ts
@@ -21,6 +21,7 @@
 
 const withoutScheduling: SchedulingSettings = {
     ranks: PartSwitch.Off,
+    waitQueue: PartSwitch.Off,
     customerShares: PartSwitch.Off,
     coldGrants: PartSwitch.Off,
     heartbeatDigests: PartSwitch.Off,
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -49,6 +49,9 @@
 import { RelayingMemoryPort } from "./reachability/relayingMemoryPort.js";
 import { Relays } from "./reachability/relays.js";
 import { SchedulingPolicy, type SchedulingSettings } from "./scheduling/schedulingPolicy.js";
+import type { IsOverShare } from "./waiting/waitOrder.js";
+import { WaitQueue } from "./waiting/waitQueue.js";
+import { WaitScheduler } from "./waiting/waitScheduler.js";
 
 export interface EntryCoreDependencies {
     clock: Clock;
@@ -65,6 +68,8 @@
     publishesPlacements: boolean;
     /** Which optional parts of the scheduling are on. */
     scheduling: () => SchedulingSettings;
+    /** Whether a customer uses more than its share of a service; without it, no customer does. */
+    isOverShare?: IsOverShare;
     /** Number of processor cores of this entry's instance. */
     processors?: number;
     /** Memory of this entry's instance; without it, buffered bytes are not bounded. */
@@ -109,6 +114,8 @@
     readonly schedulingPolicy: SchedulingPolicy;
     /** Bounds the bytes that are buffered for callers and endpoints. */
     readonly memoryGuard: MemoryGuard;
+    /** The wait queue of this entry. */
+    readonly waitScheduler: WaitScheduler;
     private readonly loans: AllowanceLoans;
     private readonly failures: FailureTracker;
     private readonly placementClient: PlacementClient;
@@ -125,6 +132,7 @@
         this.schedulingPolicy = new SchedulingPolicy({
             settings: dependencies.scheduling,
             configuration: () => this.configuration.routes?.configuration,
+            hasPlacers: () => !this.peers.placers().everyone,
         });
         this.memoryGuard = new MemoryGuard({
             clock,
@@ -171,6 +179,7 @@
             onOutcome: (from, endpoint, fate) => this.applyPeerOutcome(from, endpoint, fate),
             onPlacementAsked: (from, question) => placementServer.answer(from, question),
             onPlacementAnswered: answer => this.placementClient.receiveAnswer(answer),
+            onWaitWithdrawn: (from, requestId) => placementServer.withdraw(from, requestId),
         });
         this.failures.publish = (update, isConnectionRefused) => this.peers.publishOutcome(update, isConnectionRefused);
         this.loads.serviceOf = endpoint => this.directory.find(endpoint)?.record.service;
@@ -261,6 +270,14 @@
             endedProcesses.recordReplaced(previous);
         };
         directory.onGone = endpoint => void endedProcesses.verify(endpoint);
+        this.waitScheduler = new WaitScheduler({
+            clock,
+            random,
+            log: log("waiting"),
+            metrics,
+            queue: new WaitQueue(dependencies.isOverShare ?? (() => false)),
+        });
+        const { waitScheduler } = this;
         this.placementClient = new PlacementClient({
             clock,
             log: log("placing"),
@@ -272,6 +289,7 @@
             loads,
             peers,
             grantedColdBudget: () => usesColdGrants() ? coldBudget : undefined,
+            waitScheduler,
         });
         const placementServer = new PlacementServer({
             clock,
@@ -290,6 +308,9 @@
                 coldBudget,
                 coldGrants,
             }),
+            usesQueue: service => this.schedulingPolicy.usesWaitQueue(service),
+            waitScheduler,
+            push: (entry, answer) => peers.pushPlacementAnswer(entry, answer),
         });
         this.quarantineKeeper = new QuarantineKeeper({
             clock,
--- a/src/core/scheduling/schedulingPolicy.ts
+++ b/src/core/scheduling/schedulingPolicy.ts
@@ -11,8 +11,10 @@
 
 /** The optional parts of the scheduling. */
 export interface SchedulingSettings {
-    /** Order of requests by rank, room for urgent kinds, and the wait queue. */
+    /** Values of requests by rank. */
     ranks: PartSwitch;
+    /** The wait queue of each service. */
+    waitQueue: PartSwitch;
     /** Shares of customers under scarcity. */
     customerShares: PartSwitch;
     /** Requests to cold endpoints that placers grant. */
@@ -26,6 +28,7 @@
 /** All parts by the configuration. */
 export const defaultSchedulingSettings: SchedulingSettings = {
     ranks: PartSwitch.Auto,
+    waitQueue: PartSwitch.Auto,
     customerShares: PartSwitch.Auto,
     coldGrants: PartSwitch.Auto,
     heartbeatDigests: PartSwitch.Auto,
@@ -43,6 +46,8 @@
     settings: () => SchedulingSettings;
     /** The configuration in force; undefined until there is one. */
     configuration: () => RoutingConfiguration | undefined;
+    /** Whether a few entries choose endpoints for all; false by default. */
+    hasPlacers?: () => boolean;
 }
 
 /** Answers which optional parts are on. */
@@ -57,6 +62,15 @@
         return isOn(this.dependencies.settings().ranks, () => this.hasRanks(service));
     }
 
+    /**
+     * Whether long prompts of the service wait in a queue. By default only where placers keep it: the queues of entries that
+     * choose for themselves don't know one another's waiters.
+     */
+    usesWaitQueue(service: string): boolean {
+        const { settings, hasPlacers } = this.dependencies;
+        return isOn(settings().waitQueue, () => this.hasRanks(service) && (hasPlacers?.() ?? false));
+    }
+
     /** Whether customers get shares of the service under scarcity. */
     usesCustomerShares(service: string): boolean {
         return isOn(this.dependencies.settings().customerShares, () => this.hasRanks(service));
