Wait queue is off by default

Cause: beside values by rank it uses each dip in the price of engine time for another longest prompt, and the short prompts of the next second pay for it.

--- a/src/adapters/forwarding/entrySettings.ts
+++ b/src/adapters/forwarding/entrySettings.ts
@@ -79,7 +79,7 @@
     /** Optional parts of the scheduling; `auto` is on where the configuration or the platform calls for the part. */
     scheduling: z.strictObject({
         ranks: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
-        waitQueue: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
+        waitQueue: setting.oneOf(PartSwitch).default(PartSwitch.Off),
         customerShares: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
         coldGrants: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
         heartbeatDigests: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
--- a/src/core/scheduling/schedulingPolicy.ts
+++ b/src/core/scheduling/schedulingPolicy.ts
@@ -25,10 +25,10 @@
     slowReaders: PartSwitch;
 }
 
-/** All parts by the configuration. */
+/** All parts by the configuration but the wait queue, which costs short prompts more than it gains beside values by rank. */
 export const defaultSchedulingSettings: SchedulingSettings = {
     ranks: PartSwitch.Auto,
-    waitQueue: PartSwitch.Auto,
+    waitQueue: PartSwitch.Off,
     customerShares: PartSwitch.Auto,
     coldGrants: PartSwitch.Auto,
     heartbeatDigests: PartSwitch.Auto,
@@ -63,7 +63,7 @@
     }
 
     /**
-     * Whether long prompts of the service wait in a queue. By default only where placers keep it: the queues of entries that
+     * Whether long prompts of the service wait in a queue. `auto` is on only where placers keep it: the queues of entries that
      * choose for themselves don't know one another's waiters.
      */
     usesWaitQueue(service: string): boolean {
