--- a/src/adapters/forwarding/entrySettings.ts
+++ b/src/adapters/forwarding/entrySettings.ts
@@ -80,7 +80,6 @@
     scheduling: z.strictObject({
         ranks: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
         waitQueue: setting.oneOf(PartSwitch).default(PartSwitch.Off),
-        customerShares: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
         coldGrants: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
         heartbeatDigests: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
         slowReaders: setting.oneOf(PartSwitch).default(PartSwitch.Auto),
--- a/src/commands/replay.ts
+++ b/src/commands/replay.ts
@@ -22,7 +22,6 @@
 const withoutScheduling: SchedulingSettings = {
     ranks: PartSwitch.Off,
     waitQueue: PartSwitch.Off,
-    customerShares: PartSwitch.Off,
     coldGrants: PartSwitch.Off,
     heartbeatDigests: PartSwitch.Off,
     slowReaders: PartSwitch.Off,
--- a/src/core/scheduling/schedulingPolicy.ts
+++ b/src/core/scheduling/schedulingPolicy.ts
@@ -15,8 +15,6 @@
     ranks: PartSwitch;
     /** The wait queue of each service. */
     waitQueue: PartSwitch;
-    /** Shares of customers under scarcity. */
-    customerShares: PartSwitch;
     /** Requests to cold endpoints that placers grant. */
     coldGrants: PartSwitch;
     /** Heartbeats by way of the placers. */
@@ -29,7 +27,6 @@
 export const defaultSchedulingSettings: SchedulingSettings = {
     ranks: PartSwitch.Auto,
     waitQueue: PartSwitch.Off,
-    customerShares: PartSwitch.Auto,
     coldGrants: PartSwitch.Auto,
     heartbeatDigests: PartSwitch.Auto,
     slowReaders: PartSwitch.Auto,
@@ -71,11 +68,6 @@
         return isOn(settings().waitQueue, () => this.hasRanks(service) && (hasPlacers?.() ?? false));
     }
 
-    /** Whether customers get shares of the service under scarcity. */
-    usesCustomerShares(service: string): boolean {
-        return isOn(this.dependencies.settings().customerShares, () => this.hasRanks(service));
-    }
-
     /** Whether placers grant requests to cold endpoints. */
     usesColdGrants(hasPlacers: boolean): boolean {
         return hasPlacers && isOn(this.dependencies.settings().coldGrants, () => true);
