Tests of limits look at all limits that begin in time to spread

Cause: two tests took only endpoints that named their limit in the first 3 s of the fault. With digests the replay's requests fall otherwise, and the first one reaches a limited endpoint after 3.2 s; the tests then looked at nothing. Change: all endpoints whose limit is named until 3 s before the fault ends, which includes those of before; bounds unchanged.

--- a/__tests__/forwarding/limits.test.ts
+++ b/__tests__/forwarding/limits.test.ts
@@ -141,8 +141,8 @@
     test(`limit and its end reach all of ${entries} entries`, async () => {
         // With few requests per entry, most entries would send to an overloaded endpoint for seconds, and others would
         // avoid it forever.
-        const { result, begin, end } = await replayWithLimits("endpoints-limited", entries, 1);
-        const limitLogTimes = logTimesByEndpoint(result, "An endpoint names a limit.", begin + settlingDuration);
+        const { result, end } = await replayWithLimits("endpoints-limited", entries, 1);
+        const limitLogTimes = logTimesByEndpoint(result, "An endpoint names a limit.", end - settlingDuration);
         const noLimitLogTimes = logTimesByEndpoint(
             result,
             "An endpoint names no limit any more.",
@@ -217,8 +217,8 @@
 test("limit reaches all entries before the next heartbeats", async () => {
     // Guards against entries that send to an overloaded endpoint as before for longer than a second.
     for (const seed of [1, 2, 3]) {
-        const { result, begin } = await replayWithLimits("endpoints-limited", 30, seed);
-        const times = logTimesByEndpoint(result, "An endpoint names a limit.", begin + settlingDuration);
+        const { result, end } = await replayWithLimits("endpoints-limited", 30, seed);
+        const times = logTimesByEndpoint(result, "An endpoint names a limit.", end - settlingDuration);
         expect(times.length).toBeGreaterThan(0);
         for (const entryTimes of times) {
             expect(Math.max(...entryTimes) - Math.min(...entryTimes)).toBeLessThanOrEqual(limitNoticeDuration);
