Events of a stream are blocks with data or an identifier, read within bounds

Cause: each block that an empty line ends counted as an event. Empty lines and comments without end reset the clock of the silence, sent the caller its head and were written to it one by one; a piece of 64 KB made up to 32,000 events in one turn of the event loop. Each piece was joined to all pending bytes, which is quadratic for small pieces.

Change: a block without the field data or id is held back, precedes the next event in its bytes, and is delivered as a last chunk at the end of a whole stream. The connection may carry at most 1,920 KiB between two events, framing included, so that chunks of a byte are given up before 2 MB. Events that arrived before an error are delivered; a connection that isn't read to its end is closed.

--- a/src/adapters/forwarding/eventStream.ts
+++ b/src/adapters/forwarding/eventStream.ts
@@ -3,9 +3,22 @@
 import { StreamBrokenError, type StreamEvent } from "../../ports/forwardingPorts.js";
 import { describeError } from "../../utils/errors.js";
 import { EventReader } from "./eventReader.js";
+import { TurnBudget } from "./turnBudget.js";
 
-/** Limit on queued events; above it the response is paused as backpressure on the endpoint. */
-const maximumQueuedEvents = 64;
+/** Limit on the bytes that wait for the consumer; above it the response is paused as backpressure on the endpoint. */
+const maximumUnreadBytes = 16 * 1024;
+/**
+ * Limit on the bytes that the connection carries between two events, framing included. It is reached only by chunks with a few
+ * bytes each. With the bytes that are read in the same turn, an endpoint sends at most 2 MB before it is given up.
+ */
+export const maximumTransferredBytes = 1920 * 1024;
+
+/** The connection carries too many bytes for too little content. */
+export class FramingTooLargeError extends StreamBrokenError {
+    constructor() {
+        super(`more than ${maximumTransferredBytes} bytes, mostly framing, arrived between two events`);
+    }
+}
 
 /** A call of `next` that waits for an event. */
 interface PendingRead {
@@ -13,29 +26,35 @@
     reject: (error: unknown) => void;
 }
 
-/** How the stream ended. */
-type StreamEnd = { type: "Whole"; } | { type: "Broken"; error: unknown; };
+/** How the response ended. Its last bytes may still have to be read. */
+type StreamEnd = { type: "Whole"; } | { type: "Broken"; error: StreamBrokenError; };
 
 /**
  * Reads events from a response. Node's own iteration over a response, and generators over it, cost several promises per event,
  * and an entry relays thousands of events per second.
+ *
+ * Events are parsed when the consumer asks for them, and a limited number in one turn of the event loop.
  */
 export class EventStream implements AsyncIterableIterator<StreamEvent> {
     private readonly reader = new EventReader();
-    private readonly queuedEvents: StreamEvent[] = [];
+    private readonly turnBudget = new TurnBudget(() => this.settlePendingRead());
     private pendingRead: PendingRead | undefined;
     private end: StreamEnd | undefined;
+    private hasPieceWithoutEvent = false;
+    /** Bytes that the connection had carried when the wait for the current event began. */
+    private transferredBefore: number | undefined;
 
-    /** `throwIfIncomplete` throws when the response was cut. `onClosed` is called once, when the stream has ended. */
+    /** `throwIfIncomplete` throws when the response was cut. `onClosed` is called once, when the response has ended. */
     constructor(
         private readonly response: IncomingMessage,
         private readonly throwIfIncomplete: () => void,
         private readonly onClosed: () => void,
     ) {
+        this.transferredBefore = response.socket.bytesRead;
         response.on("data", (bytes: Buffer) => this.receive(bytes));
         // Node emits an error that arrives together with the end one turn later; until then a cut response looks complete.
         response.once("end", () => setImmediate(() => this.finish()));
-        response.once("error", error => this.close({ type: "Broken", error }));
+        response.once("error", error => this.close(brokenBy(error)));
         response.once("close", () => setImmediate(() => this.finish()));
     }
 
@@ -52,6 +71,7 @@
 
     /** Ends the stream early because the consumer needs no more events. */
     return(): Promise<IteratorResult<StreamEvent>> {
+        this.reader.clear();
         this.close({ type: "Whole" });
         return Promise.resolve({ done: true, value: undefined });
     }
@@ -60,17 +80,12 @@
         if (this.end) {
             return;
         }
-        try {
-            this.queuedEvents.push(...this.reader.push(bytes));
-        }
-        catch (error) {
-            this.close({ type: "Broken", error });
-            return;
-        }
-        if (this.queuedEvents.length >= maximumQueuedEvents) {
+        this.reader.push(bytes);
+        this.hasPieceWithoutEvent = true;
+        this.settlePendingRead();
+        if (this.reader.unreadBytes >= maximumUnreadBytes) {
             this.response.pause();
         }
-        this.settlePendingRead();
     }
 
     /** Closes the stream after the last byte, as complete or as broken. */
@@ -80,13 +95,10 @@
         }
         try {
             this.throwIfIncomplete();
-            if (!this.reader.isAtEventBoundary) {
-                throw new StreamBrokenError("the stream ended in the middle of an event");
-            }
             this.close({ type: "Whole" });
         }
         catch (error) {
-            this.close({ type: "Broken", error });
+            this.close(brokenBy(error));
         }
     }
 
@@ -94,35 +106,99 @@
         if (this.end) {
             return;
         }
-        this.end = end.type === "Broken" && !(end.error instanceof StreamBrokenError)
-            ? { type: "Broken", error: new StreamBrokenError(describeError(end.error)) }
-            : end;
+        this.end = end;
         this.onClosed();
-        if (!this.response.complete) {
+        // A connection with bytes that nobody reads would never be free for the next request.
+        if (!this.response.complete || !this.response.readableEnded) {
             this.response.destroy();
         }
         this.settlePendingRead();
     }
 
-    /** Settles the pending read with the next event, or with the end of the stream when the queue is empty. */
+    /** Settles the pending read with the next event, or with the end of the stream after the last event. */
     private settlePendingRead(): void {
-        const { pendingRead } = this;
-        const event = pendingRead && this.queuedEvents.shift();
-        if (!pendingRead || (!event && !this.end)) {
+        if (!this.pendingRead || this.turnBudget.isSpent) {
             return;
         }
-        this.pendingRead = undefined;
+        const event = this.readEvent();
         if (event) {
-            pendingRead.resolve({ done: false, value: event });
-        }
-        else if (this.end?.type === "Broken") {
-            pendingRead.reject(this.end.error);
+            this.takePendingRead()?.resolve({ done: false, value: event });
+            return;
         }
-        else {
-            pendingRead.resolve({ done: true, value: undefined });
+        if (this.end) {
+            this.settleWithEnd(this.end);
+            return;
         }
         if (this.response.isPaused()) {
             this.response.resume();
         }
     }
+
+    /** Returns the next event; undefined when none is complete. Ends the stream when it exceeds a limit. */
+    private readEvent(): StreamEvent | undefined {
+        const unreadBefore = this.reader.unreadBytes;
+        try {
+            const event = this.reader.next();
+            this.turnBudget.spend(event ? 1 : 0, unreadBefore - this.reader.unreadBytes);
+            if (event) {
+                this.hasPieceWithoutEvent = false;
+                this.transferredBefore = undefined;
+                return event;
+            }
+            this.checkTransferredBytes();
+        }
+        catch (error) {
+            this.breakOff(error);
+        }
+        return undefined;
+    }
+
+    private checkTransferredBytes(): void {
+        if (!this.hasPieceWithoutEvent || this.end) {
+            return;
+        }
+        const { bytesRead } = this.response.socket;
+        this.transferredBefore ??= bytesRead;
+        if (bytesRead - this.transferredBefore > maximumTransferredBytes) {
+            throw new FramingTooLargeError();
+        }
+    }
+
+    /** Ends the stream because of its content, also when the response has ended. */
+    private breakOff(error: unknown): void {
+        const broken = brokenBy(error);
+        this.reader.clear();
+        this.close(broken);
+        this.end = broken;
+    }
+
+    /** Settles the pending read when no event is left. */
+    private settleWithEnd(end: StreamEnd): void {
+        const pendingRead = this.takePendingRead();
+        if (end.type === "Broken") {
+            this.reader.clear();
+            pendingRead?.reject(end.error);
+            return;
+        }
+        if (!this.reader.isAtBlockBoundary) {
+            this.breakOff(new StreamBrokenError("the stream ended in the middle of an event"));
+            pendingRead?.reject((this.end as { error: StreamBrokenError; }).error);
+            return;
+        }
+        const bytes = this.reader.takeHeld();
+        pendingRead?.resolve(
+            bytes.length > 0 ? { done: false, value: { id: undefined, bytes } } : { done: true, value: undefined },
+        );
+    }
+
+    private takePendingRead(): PendingRead | undefined {
+        const { pendingRead } = this;
+        this.pendingRead = undefined;
+        return pendingRead;
+    }
 }
+
+const brokenBy = (error: unknown): StreamEnd => ({
+    type: "Broken",
+    error: error instanceof StreamBrokenError ? error : new StreamBrokenError(describeError(error)),
+});
