Attempts and health checks bound the bytes before the head

Cause: an endpoint that sends interim responses or empty lines without end was read on until the silence was noticed. Change: attempts and health checks use limitHeadBytes; the outcome is Broken with its reason, at once.

--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -21,6 +21,7 @@
 import { describeError, isConnectionRefused } from "../../utils/errors.js";
 import { misdirectedRequestStatus } from "../../utils/httpStatus.js";
 import { cancelOnAbort } from "../../utils/requestCancellation.js";
+import { limitHeadBytes } from "../../utils/responseHeadLimit.js";
 import { EndpointAgent } from "./endpointAgent.js";
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
@@ -83,6 +84,7 @@
                 headers: ["Host", endpoint.address, ...wire.healthHeaders(endpoint)],
                 agent: false,
             });
+            limitHeadBytes(request);
             const finish = (isReplaced: boolean) => {
                 stopTimer();
                 request.destroy();
@@ -167,6 +169,7 @@
             return;
         }
         const request = this.createRequest();
+        limitHeadBytes(request);
         this.removeAbortListener = cancelOnAbort(request, this.signal);
         const stopTimer = this.clock.after(this.attempt.connectTimeout, () => {
             // After a delay of this process itself, the timer may run before an established connection is noticed.
