Bytes that come with another entry's response to CONNECT fail the connection

Cause: bytes of an endpoint that arrived together with the other entry's response, before the request was sent, were dropped, so that the rest could be taken for a response. The bytes before the head were unbounded, too. Change: the connection fails as NoResponse; nothing has been written, so any route may go on elsewhere. limitHeadBytes bounds the head of the other entry.

--- a/src/adapters/forwarding/relayConnection.ts
+++ b/src/adapters/forwarding/relayConnection.ts
@@ -8,6 +8,7 @@
 import type { EndpointRecord } from "../../types/routing.js";
 import { splitAddress } from "../../utils/address.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
+import { limitHeadBytes } from "../../utils/responseHeadLimit.js";
 
 /** Header with the identifier of the endpoint; its address may belong to another one by now. */
 export const relayEndpointHeader = "endpoint-id";
@@ -48,6 +49,7 @@
             headers: { [relayEndpointHeader]: endpoint.id, [relayTimeoutHeader]: String(connectTimeout) },
             agent: false,
         });
+        limitHeadBytes(request);
         const fail = (failure: ConnectFailure, reason: string) => {
             stopTimer();
             request.destroy();
@@ -58,9 +60,14 @@
             connectTimeout + relayAnswerMargin,
             () => unavailable("the entry that should carry the connection didn't answer"),
         );
-        request.once("connect", (response, socket: Socket) => {
+        request.once("connect", (response, socket: Socket, earlyBytes: Buffer) => {
             // A reset before the connection is used would otherwise end the process.
             socket.on("error", () => {});
+            if (response.statusCode === RelayStatus.Connected && earlyBytes.length > 0) {
+                socket.destroy();
+                fail(ConnectFailure.NoResponse, "the endpoint sent bytes before a request");
+                return;
+            }
             if (response.statusCode === RelayStatus.Connected) {
                 stopTimer();
                 resolve({ type: "Connected", socket });
