Bodies deliver a bounded number of bytes in one turn, and small pieces are joined early

Cause: Node reads up to 2 MB from one connection in a turn, while timers and other connections wait; pieces of one byte each kept a buffer of up to 64 KB alive. Change: collectBody pauses a message for a turn after 128 KB, and joins each 512 pieces. Result: __tests__/forwarding/largeBodies.test.ts passes; on the code before, the test of one turn fails.

--- a/src/utils/bodies.ts
+++ b/src/utils/bodies.ts
@@ -1,7 +1,9 @@
 /** Reads complete message bodies. A failure leaves the connection open, so that a server can still send a response. */
 import type { IncomingMessage } from "node:http";
+import { ByteCollector } from "./byteCollector.js";
 import type { Clock, Milliseconds } from "./clock.js";
 import { BodyTooLargeError, DandelionrampError, describeError } from "./errors.js";
+import { createTurnLimit } from "./turnLimit.js";
 
 /** The connection closed before the body was complete. */
 export class BodyIncompleteError extends DandelionrampError {}
@@ -31,7 +33,8 @@
  */
 export const collectBody = (message: IncomingMessage, limits: BodyLimits): Promise<Buffer> =>
     new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
+        const collector = new ByteCollector();
+        const limitTurn = createTurnLimit(message);
         let cancelTimer = () => {};
         let size = 0;
         const finish = (settle: () => void) => {
@@ -46,7 +49,8 @@
                 finish(() => reject(new BodyTooLargeError(limits.bytes)));
                 return;
             }
-            chunks.push(chunk);
+            collector.add(chunk);
+            limitTurn(chunk);
         };
         const stop = () => finish(() => reject(new BodyStoppedError("the reading was stopped")));
         if (limits.signal?.aborted) {
@@ -57,7 +61,7 @@
         message.on("data", addChunk);
         message.once("end", () => {
             if (message.complete) {
-                finish(() => resolve(Buffer.concat(chunks)));
+                finish(() => resolve(collector.join()));
                 return;
             }
             finish(() => reject(new BodyIncompleteError("the connection closed")));
