Bodies of refusals are drained within bounds

Cause: the body of a refusal was read to its end, for its connection: an endless one held the connection and was read on. A busy status without the guarantee waited for its body, though the outcome doesn't depend on it.

--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -26,6 +26,7 @@
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
 import { connectByRelay } from "./relayConnection.js";
+import { drainResponse } from "./responseDrain.js";
 
 /** Limit for a response that is buffered in memory. Responses that are not streamed are far smaller. */
 const maximumResponseBytes = 16 * 1024 * 1024;
@@ -280,7 +281,7 @@
             this.options.onReport(facts.report);
         }
         if (facts.guaranteesNotRun || status === misdirectedRequestStatus) {
-            response.resume();
+            drainResponse(response, this.clock);
             this.settle({
                 type: "Refused",
                 reason: status === misdirectedRequestStatus ? RefusalReason.WrongEndpoint : RefusalReason.Busy,
@@ -296,6 +297,14 @@
             });
             return;
         }
+        if (notRunStatuses.has(status)) {
+            drainResponse(response, this.clock);
+            this.settle({
+                type: "Broken",
+                reason: `status ${status} without the guarantee that the request has not run`,
+            });
+            return;
+        }
         const head = { status, headers: facts.headers };
         if (this.attempt.isStreaming && isSuccess(status)) {
             const events = new EventStream(response, () => this.throwIfIncomplete(response), this.removeAbortListener);
@@ -313,13 +322,6 @@
         try {
             const body = await this.readBody(response);
             this.removeAbortListener();
-            if (notRunStatuses.has(head.status)) {
-                this.settle({
-                    type: "Broken",
-                    reason: `status ${head.status} without the guarantee that the request has not run`,
-                });
-                return;
-            }
             this.settle({ type: "Answered", head, body });
         }
         catch (error) {
--- a/src/utils/bodies.ts
+++ b/src/utils/bodies.ts
@@ -18,6 +18,9 @@
 /** The signal aborted before the body was complete. */
 export class BodyStoppedError extends DandelionrampError {}
 
+/** Length of the body by the head of its message; 0 where the head has none. */
+export const announcedBytes = ({ headers }: IncomingMessage): number => Number(headers["content-length"] ?? 0);
+
 /** Limits on the size of a body and on the time to read it. */
 export interface BodyLimits {
     bytes: number;
