One bound for the bodies of all responses that an entry receives

Cause: each body was kept up to 16 MB and nothing bounded all of them, so memory grew with the number of requests. Change: above an eighth of the instance's memory (16 to 32 MB) the largest body of the endpoint that holds the most is given up as Broken, with a metric and at most one log line a second; a content-length above 16 MB is given up at the head; a piece counts as at least 256 bytes.

--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -2,6 +2,7 @@
 import http from "node:http";
 import net, { type Socket } from "node:net";
 import { HeldKind } from "../../core/memoryBounds/heldBytes.js";
+import { ReceivedBodies } from "../../core/memoryBounds/receivedBodies.js";
 import {
     type AttemptOutcome,
     ConnectFailure,
@@ -16,7 +17,6 @@
 } from "../../ports/forwardingPorts.js";
 import type { EndpointRecord } from "../../types/routing.js";
 import { splitAddress } from "../../utils/address.js";
-import { collectBody } from "../../utils/bodies.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { describeError, isConnectionRefused } from "../../utils/errors.js";
 import { misdirectedRequestStatus } from "../../utils/httpStatus.js";
@@ -26,10 +26,9 @@
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
 import { connectByRelay } from "./relayConnection.js";
+import { readResponseBody } from "./responseBody.js";
 import { drainResponse } from "./responseDrain.js";
 
-/** Limit for a response that is buffered in memory. Responses that are not streamed are far smaller. */
-const maximumResponseBytes = 16 * 1024 * 1024;
 /** Statuses that guarantee callers that the request has not run; forwarded only if the endpoint gives that guarantee. */
 const notRunStatuses = new Set([408, 429, 503]);
 
@@ -40,11 +39,17 @@
     onConnected: (endpoint: EndpointRecord) => void = () => {};
     private readonly agent = new EndpointAgent();
 
-    constructor(private readonly wire: ForwardingWire, private readonly clock: Clock) {}
+    /** `bodies` bounds the bodies of all responses together. */
+    constructor(
+        private readonly wire: ForwardingWire,
+        private readonly clock: Clock,
+        private readonly bodies = new ReceivedBodies({ clock }),
+    ) {}
 
     async send(attempt: EndpointAttempt, signal: AbortSignal, onReport: ReportListener): Promise<AttemptOutcome> {
         const { endpoint, relay, connectTimeout } = attempt;
-        const options: ExchangeOptions = { wire: this.wire, clock: this.clock, attempt, signal, onReport };
+        const { wire, clock, bodies } = this;
+        const options: ExchangeOptions = { wire, clock, bodies, attempt, signal, onReport };
         if (relay === undefined) {
             return await EndpointExchange.run({
                 ...options,
@@ -52,7 +57,7 @@
                 onConnected: () => this.onConnected(endpoint),
             });
         }
-        const connection = await connectByRelay(this.clock, relay, endpoint, connectTimeout);
+        const connection = await connectByRelay(clock, relay, endpoint, connectTimeout);
         if (connection.type === "Failed") {
             return { ...connection, type: "Unreached" };
         }
@@ -122,6 +127,7 @@
 interface ExchangeOptions {
     wire: ForwardingWire;
     clock: Clock;
+    bodies: ReceivedBodies;
     attempt: EndpointAttempt;
     signal: AbortSignal;
     onReport: ReportListener;
@@ -320,7 +326,13 @@
         head: ResponseHead,
     ): Promise<void> {
         try {
-            const body = await this.readBody(response);
+            const { request: { method, memory }, endpoint } = this.attempt;
+            const body = await readResponseBody(response, {
+                method,
+                memory,
+                account: this.options.bodies.open(endpoint.id, error => response.destroy(error)),
+            });
+            this.throwIfIncomplete(response);
             this.removeAbortListener();
             this.settle({ type: "Answered", head, body });
         }
@@ -357,23 +369,6 @@
             || (facts.requestId === undefined && facts.guaranteesNotRun && !request.reusedSocket);
     }
 
-    private async readBody(response: http.IncomingMessage): Promise<Buffer> {
-        const { memory } = this.attempt.request;
-        let receivedBytes = 0;
-        response.on("data", (bytes: Buffer) => {
-            receivedBytes += bytes.length;
-            memory?.change(HeldKind.Received, bytes.length);
-        });
-        try {
-            const body = await collectBody(response, { bytes: maximumResponseBytes });
-            this.throwIfIncomplete(response);
-            return body;
-        }
-        finally {
-            memory?.change(HeldKind.Received, -receivedBytes);
-        }
-    }
-
     /**
      * Throws when the response was cut. Node marks a body without a length as complete even after a reset; the recorded error
      * distinguishes the two.
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -9,6 +9,7 @@
 import type { EndpointDirectory } from "../../core/membership/endpointDirectory.js";
 import { EntryDiscovery } from "../../core/membership/entryDiscovery.js";
 import { PeerState } from "../../core/membership/peerState.js";
+import { ReceivedBodies } from "../../core/memoryBounds/receivedBodies.js";
 import type { EndpointLoad } from "../../core/placement/loadEstimator.js";
 import type { CrashStorePort } from "../../ports/crashStore.js";
 import type { EndpointPort } from "../../ports/forwardingPorts.js";
@@ -118,7 +119,7 @@
             self: this.self,
             dataCentre,
             channel: this.peerSocket,
-            endpointPort: dependencies.endpointPort ?? new EndpointClient(wire, clock),
+            endpointPort: dependencies.endpointPort ?? new EndpointClient(wire, clock, this.createReceivedBodies()),
             memoryPort: dependencies.memory,
             quarantineStore: dependencies.quarantineStore,
             crashStore: dependencies.crashStore,
@@ -209,6 +210,16 @@
         return this.core.pauses.count;
     }
 
+    private createReceivedBodies(): ReceivedBodies {
+        const { clock, log } = this.dependencies;
+        return new ReceivedBodies({
+            clock,
+            log: log("buffers"),
+            onGivenUp: () => this.core.metrics.count("response_bodies_given_up_total"),
+            memoryBytes: this.settings.instance.memoryMegabytes * bytesPerMegabyte,
+        });
+    }
+
     /** Estimated load of an endpoint. */
     loadOf(endpoint: string): EndpointLoad {
         return this.core.loads.loadOf(endpoint);
