--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -2,6 +2,7 @@
 import http from "node:http";
 import net, { type Socket } from "node:net";
 import { HeldKind } from "../../core/memoryBounds/heldBytes.js";
+import { ReceivedBodies } from "../../core/memoryBounds/receivedBodies.js";
 import {
     type AttemptOutcome,
     ConnectFailure,
@@ -16,18 +17,18 @@
 } from "../../ports/forwardingPorts.js";
 import type { EndpointRecord } from "../../types/routing.js";
 import { splitAddress } from "../../utils/address.js";
-import { collectBody } from "../../utils/bodies.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { describeError, isConnectionRefused } from "../../utils/errors.js";
 import { misdirectedRequestStatus } from "../../utils/httpStatus.js";
 import { cancelOnAbort } from "../../utils/requestCancellation.js";
+import { limitHeadBytes } from "../../utils/responseHeadLimit.js";
 import { EndpointAgent } from "./endpointAgent.js";
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
 import { connectByRelay } from "./relayConnection.js";
+import { readResponseBody } from "./responseBody.js";
+import { drainResponse } from "./responseDrain.js";
 
-/** Limit for a response that is buffered in memory. Responses that are not streamed are far smaller. */
-const maximumResponseBytes = 16 * 1024 * 1024;
 /** Statuses that guarantee callers that the request has not run; forwarded only if the endpoint gives that guarantee. */
 const notRunStatuses = new Set([408, 429, 503]);
 
@@ -38,11 +39,17 @@
     onConnected: (endpoint: EndpointRecord) => void = () => {};
     private readonly agent = new EndpointAgent();
 
-    constructor(private readonly wire: ForwardingWire, private readonly clock: Clock) {}
+    /** `bodies` bounds the bodies of all responses together. */
+    constructor(
+        private readonly wire: ForwardingWire,
+        private readonly clock: Clock,
+        private readonly bodies = new ReceivedBodies({ clock }),
+    ) {}
 
     async send(attempt: EndpointAttempt, signal: AbortSignal, onReport: ReportListener): Promise<AttemptOutcome> {
         const { endpoint, relay, connectTimeout } = attempt;
-        const options: ExchangeOptions = { wire: this.wire, clock: this.clock, attempt, signal, onReport };
+        const { wire, clock, bodies } = this;
+        const options: ExchangeOptions = { wire, clock, bodies, attempt, signal, onReport };
         if (relay === undefined) {
             return await EndpointExchange.run({
                 ...options,
@@ -50,7 +57,7 @@
                 onConnected: () => this.onConnected(endpoint),
             });
         }
-        const connection = await connectByRelay(this.clock, relay, endpoint, connectTimeout);
+        const connection = await connectByRelay(clock, relay, endpoint, connectTimeout);
         if (connection.type === "Failed") {
             return { ...connection, type: "Unreached" };
         }
@@ -83,6 +90,7 @@
                 headers: ["Host", endpoint.address, ...wire.healthHeaders(endpoint)],
                 agent: false,
             });
+            limitHeadBytes(request);
             const finish = (isReplaced: boolean) => {
                 stopTimer();
                 request.destroy();
@@ -119,6 +127,7 @@
 interface ExchangeOptions {
     wire: ForwardingWire;
     clock: Clock;
+    bodies: ReceivedBodies;
     attempt: EndpointAttempt;
     signal: AbortSignal;
     onReport: ReportListener;
@@ -167,6 +176,7 @@
             return;
         }
         const request = this.createRequest();
+        limitHeadBytes(request);
         this.removeAbortListener = cancelOnAbort(request, this.signal);
         const stopTimer = this.clock.after(this.attempt.connectTimeout, () => {
             // After a delay of this process itself, the timer may run before an established connection is noticed.
@@ -277,7 +287,7 @@
             this.options.onReport(facts.report);
         }
         if (facts.guaranteesNotRun || status === misdirectedRequestStatus) {
-            response.resume();
+            drainResponse(response, this.clock);
             this.settle({
                 type: "Refused",
                 reason: status === misdirectedRequestStatus ? RefusalReason.WrongEndpoint : RefusalReason.Busy,
@@ -293,6 +303,14 @@
             });
             return;
         }
+        if (notRunStatuses.has(status)) {
+            drainResponse(response, this.clock);
+            this.settle({
+                type: "Broken",
+                reason: `status ${status} without the guarantee that the request has not run`,
+            });
+            return;
+        }
         const head = { status, headers: facts.headers };
         if (this.attempt.isStreaming && isSuccess(status)) {
             const events = new EventStream(response, () => this.throwIfIncomplete(response), this.removeAbortListener);
@@ -308,15 +326,14 @@
         head: ResponseHead,
     ): Promise<void> {
         try {
-            const body = await this.readBody(response);
+            const { request: { method, memory }, endpoint } = this.attempt;
+            const body = await readResponseBody(response, {
+                method,
+                memory,
+                account: this.options.bodies.open(endpoint.id, error => response.destroy(error)),
+            });
+            this.throwIfIncomplete(response);
             this.removeAbortListener();
-            if (notRunStatuses.has(head.status)) {
-                this.settle({
-                    type: "Broken",
-                    reason: `status ${head.status} without the guarantee that the request has not run`,
-                });
-                return;
-            }
             this.settle({ type: "Answered", head, body });
         }
         catch (error) {
@@ -352,23 +369,6 @@
             || (facts.requestId === undefined && facts.guaranteesNotRun && !request.reusedSocket);
     }
 
-    private async readBody(response: http.IncomingMessage): Promise<Buffer> {
-        const { memory } = this.attempt.request;
-        let receivedBytes = 0;
-        response.on("data", (bytes: Buffer) => {
-            receivedBytes += bytes.length;
-            memory?.change(HeldKind.Received, bytes.length);
-        });
-        try {
-            const body = await collectBody(response, { bytes: maximumResponseBytes });
-            this.throwIfIncomplete(response);
-            return body;
-        }
-        finally {
-            memory?.change(HeldKind.Received, -receivedBytes);
-        }
-    }
-
     /**
      * Throws when the response was cut. Node marks a body without a length as complete even after a reset; the recorded error
      * distinguishes the two.
