Limits on responses of JSON exchanges and services

Cause: requestJson kept up to 32 MB of a body for a response whose status is all that an order uses; a body over its limit left the connection open, so that it was read on; nothing limited the bytes before a head. Change: each caller of requestJson names its limit. All outgoing requests of httpClient limit the bytes before the head.

--- a/src/adapters/engineClient.ts
+++ b/src/adapters/engineClient.ts
@@ -14,7 +14,7 @@
     IncomingResponse,
     JsonResponse,
     OutgoingRequest,
-    readBody,
+    readResponseBody,
     requestJson,
     sendRequest,
     withTimeout,
@@ -22,6 +22,8 @@
 
 const callTimeoutMilliseconds = 1_500;
 const maximumRefusalBytes = 64 * 1024;
+/** Limit on the list of holdings, with some hundred bytes each. */
+const maximumHoldingsBytes = 1024 * 1024;
 const maximumLineLength = 1024 * 1024;
 
 const parseFrame = (line: string): EngineFrame => {
@@ -100,7 +102,8 @@
     }
 
     async holdings(address: string): Promise<EngineHolding[]> {
-        return ((await this.call(address, "GET", "/holdings")).value as { holdings: EngineHolding[]; }).holdings;
+        const response = await this.call(address, "GET", "/holdings", undefined, maximumHoldingsBytes);
+        return (response.value as { holdings: EngineHolding[]; }).holdings;
     }
 
     private async openStream(
@@ -115,7 +118,7 @@
         try {
             const response = await sendRequest({ ...request, signal: connection.signal });
             if (response.status !== 200) {
-                const text = (await readBody(response.body, maximumRefusalBytes)).toString("utf8");
+                const text = (await readResponseBody(response.body, maximumRefusalBytes)).toString("utf8");
                 throw refusalError(request.address, response.status, text);
             }
             opening.removeEventListener("abort", abortConnection);
@@ -126,14 +129,20 @@
         }
     }
 
-    private async call(address: string, method: string, path: string, value?: unknown): Promise<JsonResponse> {
+    private async call(
+        address: string,
+        method: string,
+        path: string,
+        value?: unknown,
+        maximumResponseBytes?: number,
+    ): Promise<JsonResponse> {
         let response: JsonResponse;
         try {
             response = await withTimeout(
                 this.clock,
                 callTimeoutMilliseconds,
                 `${method} ${path}`,
-                signal => requestJson({ address, method, path, signal }, value),
+                signal => requestJson({ address, method, path, signal, maximumResponseBytes }, value),
             );
         }
         catch (error) {
--- a/src/adapters/forwarding/peerStateServer.ts
+++ b/src/adapters/forwarding/peerStateServer.ts
@@ -26,6 +26,8 @@
 /** Version of the message format, raised with each incompatible change. Messages of another version are rejected. */
 const formatVersion = 1;
 const maximumQueryBytes = 4_096;
+/** Limit on a response, uncompressed: all objects of a kind at most. */
+const maximumResponseBytes = 32 * 1024 * 1024;
 
 const stateQuerySchema = z.object({ format: z.literal(formatVersion), kind: z.enum(StateKind), revision: z.number() });
 const pauseSchema = z.object({
@@ -194,7 +196,8 @@
         timeout: Milliseconds,
     ): Promise<unknown> {
         const client = new JSONRPCClient(async (request: JSONRPCRequest) => {
-            const send = (signal: AbortSignal) => requestJson({ address, method: "POST", path: "/", signal }, request);
+            const send = (signal: AbortSignal) =>
+                requestJson({ address, method: "POST", path: "/", signal, maximumResponseBytes }, request);
             const { value } = await withTimeout(this.clock, timeout, "the response of another entry", send);
             client.receive(value as JSONRPCResponse);
         });
--- a/src/adapters/peerClient.ts
+++ b/src/adapters/peerClient.ts
@@ -17,6 +17,8 @@
 } from "../internal.js";
 
 const callTimeoutMilliseconds = 800;
+/** Limit on a response: the whole configuration at most. */
+const maximumResponseBytes = 16 * 1024 * 1024;
 
 /** Client for the RPC methods of peers. */
 export class PeerClient implements PeerPort {
@@ -81,7 +83,7 @@
                 this.clock,
                 callTimeoutMilliseconds,
                 "the HTTP exchange with a peer",
-                signal => requestJson({ address, method: "POST", path: "/rpc", signal }, payload),
+                signal => requestJson({ address, method: "POST", path: "/rpc", signal, maximumResponseBytes }, payload),
             );
             client.receive(response.value as JSONRPCResponse);
         });
--- a/src/adapters/platformClient.ts
+++ b/src/adapters/platformClient.ts
@@ -20,6 +20,9 @@
 const watchDurationMilliseconds = 5_000;
 const watchMarginMilliseconds = 2_000;
 
+/** Limit on a response: the objects of several kinds. */
+const maximumResponseBytes = 16 * 1024 * 1024;
+
 const objectPath = (kind: ObjectKind, name: string): string => `/objects/${kind}/${encodeURIComponent(name)}`;
 
 /** Reads, writes and watches objects of the platform at `address`. */
@@ -89,7 +92,11 @@
                 this.clock,
                 timeout,
                 `the platform request ${method}`,
-                callSignal => requestJson({ address: this.address, method, path, signal: callSignal }, value),
+                callSignal =>
+                    requestJson(
+                        { address: this.address, method, path, signal: callSignal, maximumResponseBytes },
+                        value,
+                    ),
                 signal,
             );
         }
--- a/src/adapters/serviceClient.ts
+++ b/src/adapters/serviceClient.ts
@@ -5,7 +5,7 @@
     describeError,
     EndpointReport,
     ExchangeError,
-    readBody,
+    readResponseBody,
     requestJson,
     sendRequest,
     ServiceLostError,
@@ -60,7 +60,7 @@
                 signal,
                 freshConnection: true,
             });
-            const body = await readBody(response.body, maximumResponseBytes);
+            const body = await readResponseBody(response.body, maximumResponseBytes);
             if (response.status === 503 && response.headers[notRunHeader] === "true") {
                 throw new ServiceRefusedError(`${address} rejected the request without running it`);
             }
--- a/src/commands/operator/index.ts
+++ b/src/commands/operator/index.ts
@@ -7,6 +7,8 @@
 
 const defaultAddress = "127.0.0.1:8280";
 const failedExitCode = 1;
+/** Limit on a response: all objects of a kind. */
+const maximumResponseBytes = 32 * 1024 * 1024;
 const addressFlag = {
     entry: Flags.string({
         description: "address of an entry's port for operators, as host:port",
@@ -21,7 +23,7 @@
 abstract class OperatorCommand extends ProgramCommand {
     protected async sendRequest(entry: string, method: string, path: string, value?: unknown): Promise<JsonResponse> {
         try {
-            return await requestJson({ address: entry, method, path }, value);
+            return await requestJson({ address: entry, method, path, maximumResponseBytes }, value);
         }
         catch (error) {
             return this.error(`the entry at ${entry} does not respond: ${describeError(error)}`, {
--- a/src/commands/timelineMerge.ts
+++ b/src/commands/timelineMerge.ts
@@ -1,6 +1,9 @@
 /** Merges the timelines of several processes into one, corrected for the offsets of their clocks. */
 import { Clock, Milliseconds, requestJson, TimelineEvent, TimelinePage } from "../internal.js";
 
+/** Limit on a timeline of one process. */
+const maximumResponseBytes = 32 * 1024 * 1024;
+
 /** The events of one process, with the offset of its clock from the collector's clock. */
 export interface CollectedPage {
     page: TimelinePage;
@@ -15,7 +18,7 @@
 /** Fetches the events of one process. The clock offset assumes that request and response took the same time. */
 export const collectPage = async (clock: Clock, address: string, from = 0): Promise<CollectedPage> => {
     const requestedAt = clock.wallTime();
-    const response = await requestJson({ address, method: "GET", path: `/events?from=${from}` });
+    const response = await requestJson({ address, method: "GET", path: `/events?from=${from}`, maximumResponseBytes });
     const midpoint = (requestedAt + clock.wallTime()) / 2;
     const page = response.value as TimelinePage;
     return { page, offset: page.wallTime - midpoint };
--- a/src/load/booker.ts
+++ b/src/load/booker.ts
@@ -1,5 +1,5 @@
 /** Books a place, and retries under the same idempotency key until the outcome is known. */
-import { Clock, Milliseconds, readBody, sendRequest } from "../internal.js";
+import { Clock, Milliseconds, readResponseBody, sendRequest } from "../internal.js";
 
 /** Outcome of a booking, as the last response states it. */
 export enum BookingOutcome {
@@ -58,7 +58,7 @@
             body: key,
             signal: AbortSignal.timeout(options.timeoutMilliseconds + timeoutSlackMilliseconds),
         });
-        const text = (await readBody(response.body, maximumResponseBytes)).toString("utf8");
+        const text = (await readResponseBody(response.body, maximumResponseBytes)).toString("utf8");
         if (response.status === 201) {
             return { end: BookingOutcome.Booked, text, retryAfterSeconds: 0 };
         }
--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -1,6 +1,6 @@
 /** Sends one request of the load tool and checks the response against the expected text. */
 import { createParser } from "eventsource-parser";
-import { Clock, ExchangeError, IncomingResponse, Milliseconds, readBody, sendRequest } from "../internal.js";
+import { Clock, ExchangeError, IncomingResponse, Milliseconds, readResponseBody, sendRequest } from "../internal.js";
 import { expectedResponse } from "../standins/expectedResponse.js";
 import { Arrival } from "./arrivals.js";
 
@@ -148,7 +148,7 @@
     base: Pick<CallRecord, "index" | "target" | "promptTokens" | "startedAt">,
     response: IncomingResponse,
 ): Promise<CallRecord> => {
-    const text = (await readBody(response.body, maximumProblemBytes)).toString("utf8");
+    const text = (await readResponseBody(response.body, maximumProblemBytes)).toString("utf8");
     const problem = JSON.parse(text) as Partial<CallRecord>;
     const retryAfter = response.headers["retry-after"];
     return {
--- a/src/utils/httpClient.ts
+++ b/src/utils/httpClient.ts
@@ -6,6 +6,7 @@
 import { collectBody } from "./bodies.js";
 import { BodyTooLargeError, describeError, ExchangeError } from "./errors.js";
 import { cancelOnAbort } from "./requestCancellation.js";
+import { limitHeadBytes } from "./responseHeadLimit.js";
 
 /** One outgoing request. */
 export interface OutgoingRequest {
@@ -60,6 +61,7 @@
             headers: requestHeaders(request),
             ...connectionOf(request),
         });
+        limitHeadBytes(outgoing);
         if (request.signal) {
             outgoing.once("close", cancelOnAbort(outgoing, request.signal));
         }
@@ -84,7 +86,8 @@
 
 /**
  * Reads a complete body. Throws {@link BodyTooLargeError} if it exceeds `limitBytes`, and {@link ExchangeError} if it is
- * incomplete. The connection stays open in both cases, because a server still has to send its response.
+ * incomplete. The connection stays open in both cases, because a server still has to send its response. Clients use
+ * {@link readResponseBody}.
  */
 export const readBody = async (body: http.IncomingMessage, limitBytes: number): Promise<Buffer> => {
     try {
@@ -98,6 +101,30 @@
     }
 };
 
+/**
+ * Reads the complete body of a response. Throws as {@link readBody} does, and then closes the connection: nobody reads the rest,
+ * which may have no end. A body whose announced length exceeds the limit isn't read at all.
+ */
+export const readResponseBody = async (body: http.IncomingMessage, limitBytes: number): Promise<Buffer> => {
+    try {
+        // The response to a HEAD request announces a length and is already complete.
+        if (!body.complete && Number(body.headers["content-length"] ?? 0) > limitBytes) {
+            throw new BodyTooLargeError(limitBytes);
+        }
+        return await readBody(body, limitBytes);
+    }
+    catch (error) {
+        body.destroy();
+        throw error;
+    }
+};
+
+/** A request without a body, whose response is JSON. */
+export interface JsonRequest extends Omit<OutgoingRequest, "body"> {
+    /** Limit on the body of the response, as sent and uncompressed; {@link defaultJsonResponseBytes} where omitted. */
+    maximumResponseBytes?: number;
+}
+
 /** A response with its parsed JSON body. */
 export interface JsonResponse {
     status: number;
@@ -105,23 +132,18 @@
     value: unknown;
 }
 
-const maximumJsonResponseBytes = 32 * 1024 * 1024;
+/** Limit for responses that state an outcome or a few figures. Callers that expect more name their own limit. */
+export const defaultJsonResponseBytes = 64 * 1024;
 
-const readJsonText = async (body: http.IncomingMessage): Promise<string> => {
-    try {
-        const bytes = await readBody(body, maximumJsonResponseBytes);
-        const isGzipped = body.headers["content-encoding"] === "gzip";
-        return (isGzipped ? gunzipSync(bytes, { maxOutputLength: maximumJsonResponseBytes }) : bytes).toString("utf8");
-    }
-    catch (error) {
-        body.destroy();
-        throw error;
-    }
+const readJsonText = async (body: http.IncomingMessage, limitBytes: number): Promise<string> => {
+    const bytes = await readResponseBody(body, limitBytes);
+    const isGzipped = body.headers["content-encoding"] === "gzip";
+    return (isGzipped ? gunzipSync(bytes, { maxOutputLength: limitBytes }) : bytes).toString("utf8");
 };
 
-/** Sends `value` as JSON and reads a JSON response. Throws {@link ExchangeError}. */
+/** Sends `value` as JSON and reads a JSON response. Throws {@link ExchangeError} or {@link BodyTooLargeError}. */
 export const requestJson = async (
-    request: Omit<OutgoingRequest, "body">,
+    { maximumResponseBytes = defaultJsonResponseBytes, ...request }: JsonRequest,
     value?: unknown,
 ): Promise<JsonResponse> => {
     const response = await sendRequest({
@@ -129,7 +151,7 @@
         headers: { ...request.headers, ...(value === undefined ? {} : { "content-type": "application/json" }) },
         body: value === undefined ? undefined : JSON.stringify(value),
     });
-    const text = await readJsonText(response.body);
+    const text = await readJsonText(response.body, maximumResponseBytes);
     try {
         return {
             status: response.status,
