Frames of engines: bounded work, and lines that are no frames

Cause: any JSON value passed as a frame and was dropped without an end; a dropped frame interrupted the silence; a line in small pieces was searched again with each piece; all frames of a piece were read in one turn of the event loop; a reader that gave up stayed connected until the next frame. Change: frameReader.ts checks each line against the schema of a frame, searches each piece once, lets timers run after 64 frames, and closes the connection with the end of the iteration. The silence of a stream counts from the last frame that brought it further.

--- a/src/adapters/engineClient.ts
+++ b/src/adapters/engineClient.ts
@@ -11,7 +11,6 @@
     EngineRefusedError,
     EngineRequest,
     ExchangeError,
-    IncomingResponse,
     JsonResponse,
     OutgoingRequest,
     readResponseBody,
@@ -19,48 +18,12 @@
     sendRequest,
     withTimeout,
 } from "../internal.js";
+import { readFrames } from "./frameReader.js";
 
 const callTimeoutMilliseconds = 1_500;
 const maximumRefusalBytes = 64 * 1024;
 /** Limit on the list of holdings, with some hundred bytes each. */
 const maximumHoldingsBytes = 1024 * 1024;
-const maximumLineLength = 1024 * 1024;
-
-const parseFrame = (line: string): EngineFrame => {
-    try {
-        return JSON.parse(line) as EngineFrame;
-    }
-    catch (error) {
-        throw new EngineLostError("the engine sent a frame that is not valid JSON", true, { cause: error });
-    }
-};
-
-/** Parses a body of JSON lines, one frame per line. Throws {@link EngineLostError} if the connection fails. */
-async function* readFrames(response: IncomingResponse): AsyncGenerator<EngineFrame, void> {
-    let incompleteLine = "";
-    response.body.setEncoding("utf8");
-    try {
-        for await (const chunk of response.body as AsyncIterable<string>) {
-            const lines = (incompleteLine + chunk).split("\n");
-            incompleteLine = lines.pop()!;
-            if (incompleteLine.length > maximumLineLength) {
-                throw new EngineLostError("the engine sent a line that exceeds the length limit", true);
-            }
-            for (const line of lines) {
-                yield parseFrame(line);
-            }
-        }
-    }
-    catch (error) {
-        if (error instanceof EngineLostError) {
-            throw error;
-        }
-        throw new EngineLostError(describeError(error), true, { cause: error });
-    }
-    finally {
-        response.body.destroy();
-    }
-}
 
 /** Sends generations and reservations to model engines. */
 export class EngineClient implements EnginePort {
@@ -122,7 +85,7 @@
                 throw refusalError(request.address, response.status, text);
             }
             opening.removeEventListener("abort", abortConnection);
-            return readFrames(response);
+            return readFrames(response.body);
         }
         catch (error) {
             throw toEngineError(error);
--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -341,12 +341,19 @@
         progress: RequestProgress,
         streamId: string,
     ): AsyncGenerator<ResponseChunk, ReadOutcome> {
+        const { clock } = this.dependencies;
         const iterator = frames[Symbol.asyncIterator]();
+        // Dropped frames bring the response no further, so they don't interrupt the silence.
+        let lastProgressAt = clock.now();
         try {
             while (true) {
-                const limit = work.deadline.bounded(work.profile.silenceMilliseconds);
+                const silence = clock.now() - lastProgressAt;
+                const limit = work.deadline.bounded(work.profile.silenceMilliseconds - silence);
+                if (limit <= 0) {
+                    return { type: "Silent", reason: "the stream made no progress" };
+                }
                 const nextFrame = await withTimeout(
-                    this.dependencies.clock,
+                    clock,
                     limit,
                     "the next frame",
                     () => iterator.next(),
@@ -363,6 +370,7 @@
                     if (chunk.type === "End") {
                         return { type: "Finished" };
                     }
+                    lastProgressAt = clock.now();
                 }
             }
         }
