--- a/src/adapters/engineClient.ts
+++ b/src/adapters/engineClient.ts
@@ -11,54 +11,19 @@
     EngineRefusedError,
     EngineRequest,
     ExchangeError,
-    IncomingResponse,
     JsonResponse,
     OutgoingRequest,
-    readBody,
+    readResponseBody,
     requestJson,
     sendRequest,
     withTimeout,
 } from "../internal.js";
+import { readFrames } from "./frameReader.js";
 
 const callTimeoutMilliseconds = 1_500;
 const maximumRefusalBytes = 64 * 1024;
-const maximumLineLength = 1024 * 1024;
-
-const parseFrame = (line: string): EngineFrame => {
-    try {
-        return JSON.parse(line) as EngineFrame;
-    }
-    catch (error) {
-        throw new EngineLostError("the engine sent a frame that is not valid JSON", true, { cause: error });
-    }
-};
-
-/** Parses a body of JSON lines, one frame per line. Throws {@link EngineLostError} if the connection fails. */
-async function* readFrames(response: IncomingResponse): AsyncGenerator<EngineFrame, void> {
-    let incompleteLine = "";
-    response.body.setEncoding("utf8");
-    try {
-        for await (const chunk of response.body as AsyncIterable<string>) {
-            const lines = (incompleteLine + chunk).split("\n");
-            incompleteLine = lines.pop()!;
-            if (incompleteLine.length > maximumLineLength) {
-                throw new EngineLostError("the engine sent a line that exceeds the length limit", true);
-            }
-            for (const line of lines) {
-                yield parseFrame(line);
-            }
-        }
-    }
-    catch (error) {
-        if (error instanceof EngineLostError) {
-            throw error;
-        }
-        throw new EngineLostError(describeError(error), true, { cause: error });
-    }
-    finally {
-        response.body.destroy();
-    }
-}
+/** Limit on the list of holdings, with some hundred bytes each. */
+const maximumHoldingsBytes = 1024 * 1024;
 
 /** Sends generations and reservations to model engines. */
 export class EngineClient implements EnginePort {
@@ -100,7 +65,8 @@
     }
 
     async holdings(address: string): Promise<EngineHolding[]> {
-        return ((await this.call(address, "GET", "/holdings")).value as { holdings: EngineHolding[]; }).holdings;
+        const response = await this.call(address, "GET", "/holdings", undefined, maximumHoldingsBytes);
+        return (response.value as { holdings: EngineHolding[]; }).holdings;
     }
 
     private async openStream(
@@ -115,25 +81,31 @@
         try {
             const response = await sendRequest({ ...request, signal: connection.signal });
             if (response.status !== 200) {
-                const text = (await readBody(response.body, maximumRefusalBytes)).toString("utf8");
+                const text = (await readResponseBody(response.body, maximumRefusalBytes)).toString("utf8");
                 throw refusalError(request.address, response.status, text);
             }
             opening.removeEventListener("abort", abortConnection);
-            return readFrames(response);
+            return readFrames(response.body);
         }
         catch (error) {
             throw toEngineError(error);
         }
     }
 
-    private async call(address: string, method: string, path: string, value?: unknown): Promise<JsonResponse> {
+    private async call(
+        address: string,
+        method: string,
+        path: string,
+        value?: unknown,
+        maximumResponseBytes?: number,
+    ): Promise<JsonResponse> {
         let response: JsonResponse;
         try {
             response = await withTimeout(
                 this.clock,
                 callTimeoutMilliseconds,
                 `${method} ${path}`,
-                signal => requestJson({ address, method, path, signal }, value),
+                signal => requestJson({ address, method, path, signal, maximumResponseBytes }, value),
             );
         }
         catch (error) {
