The head of a response restarts no silence

An endpoint that sent its head after 900 ms and then no event got the whole time for silence a second time: the wait for the first event began at the head, although a head brings the caller nothing. No other endpoint was asked before the deadline of 2,000 ms.

The silence before the first event lasts since the send. The grace period of a lost endpoint still begins with each wait, so that an event right behind the head is received.

--- /dev/null
+++ b/__tests__/forwarding/endlessLines.test.ts
@@ -0,0 +1,208 @@
+/** Endpoints whose streams hold lines that end no event, without end, beside sound endpoints. */
+import type { ServerResponse } from "node:http";
+import { expect, test } from "vitest";
+import type { ReplicaFault, ReplicaServer } from "../../platform/standins/replicaServer.js";
+import { systemClock } from "../../src/utils/clock.js";
+import {
+    call,
+    type CallerResponse,
+    eventIds,
+    generation,
+    type LoggedLine,
+    Site,
+    type SiteEntry,
+    until,
+} from "./support/site.js";
+
+const eventCount = 5;
+const tokensPerEvent = 4;
+const allEvents = [...Array(eventCount).keys()].map(index => index + 1);
+const requestCount = 6;
+/** Time between two pieces of a stream that drips, in milliseconds. */
+const dripInterval = 20;
+const blockBytes = 64 * 1024;
+/** Deadline of the requests, in milliseconds. */
+const deadline = 2_000;
+
+type Pace = "fast" | "drip";
+
+/** Endpoints that write until their connections are closed, or until the end of the test. */
+class EndlessWriters {
+    private readonly responses = new Set<ServerResponse>();
+
+    get count(): number {
+        return this.responses.size;
+    }
+
+    /** Sends a stream of `piece` without end, in blocks or one piece each interval; its head after `headDelay` milliseconds. */
+    fault(piece: string, pace: Pace, headDelay = 0): ReplicaFault {
+        const block = Buffer.from(pace === "fast" ? piece.repeat(Math.ceil(blockBytes / piece.length)) : piece);
+        return ({ id }, response, replica) => {
+            this.responses.add(response);
+            response.once("close", () => this.responses.delete(response));
+            setTimeout(() => {
+                if (!response.destroyed) {
+                    response.writeHead(200, { ...replica.responseHeaders(id), "content-type": "text/event-stream" });
+                    this.writeNext(response, block, pace);
+                }
+            }, headDelay);
+            return true;
+        };
+    }
+
+    stop(): void {
+        for (const response of this.responses) {
+            response.destroy();
+        }
+    }
+
+    private writeNext(response: ServerResponse, block: Buffer, pace: Pace): void {
+        if (response.destroyed) {
+            return;
+        }
+        const isDrained = response.write(block);
+        const writeAgain = () => this.writeNext(response, block, pace);
+        if (pace === "drip") {
+            setTimeout(writeAgain, dripInterval);
+        }
+        else if (isDrained) {
+            setImmediate(writeAgain);
+        }
+        else {
+            response.once("drain", () => setImmediate(writeAgain));
+        }
+    }
+}
+
+interface EndlessSite {
+    site: Site;
+    entry: SiteEntry;
+    replicas: ReplicaServer[];
+    writers: EndlessWriters;
+}
+
+/** Runs `check` with a site of its own. */
+const withSite = async (
+    service: "models" | "bookings",
+    replicaCount: number,
+    check: (endlessSite: EndlessSite) => Promise<void>,
+): Promise<void> => {
+    const site = new Site();
+    const writers = new EndlessWriters();
+    try {
+        const replicas: ReplicaServer[] = [];
+        for (let number = 1; number <= replicaCount; number++) {
+            replicas.push(await site.replica(`r-${number}`, service));
+        }
+        site.configure(1);
+        const entry = await site.start("entry-1");
+        await until(() => entry.entry.directory.usable(service).length === replicaCount);
+        // Until the entry has read the list of entries, it has almost no retry budget.
+        await until(() => site.store.model.get("entries", "entry-1") !== undefined);
+        await systemClock.sleep(50);
+        await check({ site, entry, replicas, writers });
+    }
+    finally {
+        writers.stop();
+        await site.close();
+    }
+};
+
+const stream = ({ entry }: EndlessSite, id: string, path = "/replies/a", promptTokens = 1_000) =>
+    call(entry.callers, path, {
+        id,
+        headers: {
+            ...generation(promptTokens, eventCount * tokensPerEvent),
+            "dandelionramp-deadline-ms": `${deadline}`,
+        },
+    });
+
+const streams = (endlessSite: EndlessSite, count = requestCount): Promise<CallerResponse[]> =>
+    Promise.all([...Array(count).keys()].map(index => stream(endlessSite, `s-${index}`)));
+
+const received = ({ status, whole, body }: CallerResponse) => ({ status, whole, events: eventIds(body) });
+const wholeStream = { status: 200, whole: true, events: allEvents };
+
+const crashes = ({ site }: EndlessSite): LoggedLine[] =>
+    site.lines.filter(({ message }) => /crashed|quarantine/.test(message));
+
+const cases: [string, string, Pace][] = [
+    ["one line, fast", "x", "fast"],
+    ["data lines, fast", "data: x\n", "fast"],
+    ["one line, drip", "x", "drip"],
+    ["data lines, drip", "data: x\n", "drip"],
+];
+
+for (const [what, piece, pace] of cases) {
+    test(`streams are whole beside an endpoint that sends ${what}`, () =>
+        // Requests fail although the other endpoint is idle.
+        withSite("models", 2, async endlessSite => {
+            endlessSite.replicas[0]!.fault = endlessSite.writers.fault(piece, pace);
+            const answers = await streams(endlessSite);
+            expect(answers.map(received)).toEqual(answers.map(() => wholeStream));
+            await until(() => endlessSite.writers.count === 0);
+        }));
+}
+
+test("stream is whole beside an endpoint that sends its head late and no event", () =>
+    // The head restarts the clock of the silence: no other endpoint is asked before the deadline.
+    withSite("models", 2, async endlessSite => {
+        const { replicas, writers } = endlessSite;
+        replicas[0]!.fault = writers.fault("x", "drip", 900);
+        const answers = await streams(endlessSite);
+        expect(answers.map(received)).toEqual(answers.map(() => wholeStream));
+    }));
+
+test("request that may not run twice fails at once, as unknown", () =>
+    // Its caller waits until the deadline, or is told that it has not run.
+    withSite("bookings", 2, async endlessSite => {
+        const { replicas, writers, entry } = endlessSite;
+        for (const replica of replicas) {
+            replica.fault = writers.fault("x", "fast");
+        }
+        const answer = await call(entry.callers, "/pairs/a", { id: "p-1", body: "a pair" });
+        expect(answer.status).toBe(502);
+        expect(JSON.parse(answer.body)).toMatchObject({ execution: "unknown" });
+        expect(answer.took).toBeLessThan(deadline / 2);
+        expect(replicas.flatMap(({ arrivals }) => arrivals)).toHaveLength(1);
+    }));
+
+test("request that meets such an endpoint three times isn't blamed", () =>
+    // An endpoint that lives on counts as crashed by the request, which is quarantined after three crashes.
+    withSite("models", 2, async endlessSite => {
+        const { replicas, writers } = endlessSite;
+        for (let count = 1; count <= 4; count++) {
+            let isFirst = true;
+            for (const replica of replicas) {
+                replica.fault = (...reply) => {
+                    const wasFirst = isFirst;
+                    isFirst = false;
+                    return wasFirst && writers.fault("x", "fast")(...reply);
+                };
+            }
+            const answer = await stream(endlessSite, `same-${count}`);
+            expect(received(answer)).toEqual(wholeStream);
+            expect(isFirst).toBe(false);
+            await systemClock.sleep(300);
+        }
+        expect(crashes(endlessSite)).toEqual([]);
+    }), 15_000);
+
+test("memory is released when a long prompt meets such an endpoint", () =>
+    // The memory stays reserved and unused until its lease ends.
+    withSite("models", 4, async endlessSite => {
+        const { replicas, writers, site } = endlessSite;
+        let isFirst = true;
+        for (const replica of replicas) {
+            replica.fault = (...reply) => {
+                const wasFirst = isFirst;
+                isFirst = false;
+                return wasFirst && writers.fault("x", "fast")(...reply);
+            };
+        }
+        const answer = await stream(endlessSite, "long", "/replies/a", 150_000);
+        expect(received(answer)).toEqual(wholeStream);
+        const orders = replicas.flatMap(replica => replica.orders);
+        expect(orders.filter(({ operation }) => operation === "reserve").length).toBeGreaterThan(2);
+        await until(() => [...site.engines.values()].every(({ reservations }) => reservations.size === 0));
+    }));
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -141,9 +141,11 @@
         if (signal.aborted) {
             end();
         }
+        const sentAt = this.dependencies.clock.now();
         const waited = await this.waitUnlessStalled(
             this.sendToEndpoint(),
             this.dispatch.stallPolicy.firstEventTimeout(),
+            sentAt,
         );
         if (waited.type === "Abandoned") {
             this.finish();
@@ -153,7 +155,7 @@
         if (outcome.type === "Streaming" && !signal.aborted) {
             // A request that ends before it reads the first event starts no iteration, so none would finish the attempt.
             signal.addEventListener("abort", () => this.finish(), { once: true });
-            return { ...outcome, events: this.watchStream(outcome.events) };
+            return { ...outcome, events: this.watchStream(outcome.events, sentAt) };
         }
         this.finish();
         return outcome;
@@ -240,12 +242,17 @@
     }
 
     /**
-     * Waits for `work` until the endpoint is lost, or until nothing arrived within `timeout` and the request may go elsewhere.
+     * Waits for `work` until the endpoint is lost, or until nothing that serves the caller has arrived for `timeout` since
+     * `silentSince` and the request may go elsewhere.
      *
      * An endpoint or a connection can stall while health checks succeed and new connections work. Without a bound the caller
      * would give up first. A stall alone ends no response: the work is cancelled once the stall policy says so.
      */
-    private waitUnlessStalled<Result>(work: Promise<Result>, timeout: Milliseconds): Promise<WaitResult<Result>> {
+    private waitUnlessStalled<Result>(
+        work: Promise<Result>,
+        timeout: Milliseconds,
+        silentSince: Milliseconds,
+    ): Promise<WaitResult<Result>> {
         const { clock, endedProcesses } = this.dependencies;
         const { placement, admission } = this.dispatch;
         // An endpoint that still sends events isn't lost, whatever else says so.
@@ -269,7 +276,7 @@
             };
             const silence: Silence = {
                 get duration() {
-                    return clock.now() - startedAt;
+                    return clock.now() - silentSince;
                 },
                 get isOver() {
                     return isOver;
@@ -290,7 +297,7 @@
                         return;
                 }
             };
-            let stopTimer = clock.after(timeout, () => void check());
+            let stopTimer = clock.after(Math.max(0, silentSince + timeout - startedAt), () => void check());
             const abandonAfterGracePeriod = () => {
                 const { reason, minimumSilence } = this.loss!;
                 stopLossTimer();
@@ -316,13 +323,21 @@
         });
     }
 
-    /** Yields the events of a stream, and finishes the attempt however the stream ends. */
-    private async *watchStream(events: AsyncIterable<StreamEvent>): AsyncIterable<StreamEvent> {
+    /**
+     * Yields the events of a stream, and finishes the attempt however the stream ends. The silence before the first event lasts
+     * since the send: the head of a response brings the caller nothing.
+     */
+    private async *watchStream(
+        events: AsyncIterable<StreamEvent>,
+        sentAt: Milliseconds,
+    ): AsyncIterable<StreamEvent> {
+        const { clock } = this.dependencies;
         const iterator = events[Symbol.asyncIterator]();
+        let silentSince = sentAt;
         let timeout = this.dispatch.stallPolicy.firstEventTimeout();
         try {
             for (;;) {
-                const waited = await this.waitUnlessStalled(iterator.next(), timeout);
+                const waited = await this.waitUnlessStalled(iterator.next(), timeout, silentSince);
                 if (waited.type === "Abandoned") {
                     throw new StreamStalledError(waited.reason);
                 }
@@ -332,6 +347,7 @@
                 this.hold?.confirm();
                 timeout = this.dispatch.stallPolicy.eventGapTimeout;
                 yield waited.result.value;
+                silentSince = clock.now();
             }
         }
         finally {
