Requests that aren't sent again log why

Cause of the untraced 502 after one attempt and 504 at the deadline beside an idle endpoint: the retry budget. Of 6 streams at once, 3 or 4 meet the endless endpoint before it has failed anyone. No line named the budget; now one does, "No further attempt is made." with the reason, and repeats_refused_total counts these requests. Behaviour is unchanged.

Test: 30 streams at two endpoints that break off; no such line before.

--- a/__tests__/forwarding/endlessLines.test.ts
+++ b/__tests__/forwarding/endlessLines.test.ts
@@ -123,9 +123,17 @@
 const received = ({ status, whole, body }: CallerResponse) => ({ status, whole, events: eventIds(body) });
 const wholeStream = { status: 200, whole: true, events: allEvents };
 
+const finalAttempts = ({ site }: EndlessSite): LoggedLine[] =>
+    site.lines.filter(({ message }) => message === "request: No further attempt is made.");
+
 const crashes = ({ site }: EndlessSite): LoggedLine[] =>
     site.lines.filter(({ message }) => /crashed|quarantine/.test(message));
 
+const breakOff: ReplicaFault = (...[, response]) => {
+    response.socket?.destroy();
+    return true;
+};
+
 const cases: [string, string, Pace][] = [
     ["one line, fast", "x", "fast"],
     ["data lines, fast", "data: x\n", "fast"],
@@ -153,6 +161,22 @@
         expect(answers.map(received)).toEqual(answers.map(() => wholeStream));
     }));
 
+test("request that isn't sent again logs the reason", () =>
+    // Callers get a failure beside an idle endpoint, and no line says that the retry budget is used up.
+    withSite("models", 2, async endlessSite => {
+        for (const replica of endlessSite.replicas) {
+            replica.fault = breakOff;
+        }
+        const answers = await streams(endlessSite, 30);
+        for (const { status, body } of answers) {
+            expect(status).toBe(502);
+            expect(JSON.parse(body)).toMatchObject({ execution: "unknown" });
+        }
+        const reasons = finalAttempts(endlessSite).map(({ fields }) => fields.reason);
+        expect(reasons).toHaveLength(answers.length);
+        expect(new Set(reasons)).toEqual(new Set(["attemptsUsedUp", "noRetryBudget"]));
+    }));
+
 test("request that may not run twice fails at once, as unknown", () =>
     // Its caller waits until the deadline, or is told that it has not run.
     withSite("bookings", 2, async endlessSite => {
--- a/src/core/forwarding/requestProgress.ts
+++ b/src/core/forwarding/requestProgress.ts
@@ -63,8 +63,13 @@
         return Math.min(callerPatience(this.admission.route) - this.relay.timeSinceLastEvent, this.timeLeft);
     }
 
+    /** Whether it is safe to send the request once more: it certainly has not run, or it may run twice. */
+    get mayRunAgain(): boolean {
+        return this.admission.isRetryable || !this.attempts.mayHaveRun;
+    }
+
     /** Whether the request may be sent once more. */
-    mayRetry(mayRunAgain = this.admission.isRetryable || !this.attempts.mayHaveRun): boolean {
+    mayRetry(mayRunAgain = this.mayRunAgain): boolean {
         return this.attempts.areLeft(this.admission.route.attempts)
             && mayRunAgain
             && this.timeLeft > minimumTimeToSend;
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -55,6 +55,15 @@
     Suspect = "suspect",
 }
 
+/** Why a request that an endpoint failed is not sent again. */
+enum FinalAttemptReason {
+    AttemptsUsedUp = "attemptsUsedUp",
+    /** It may have run, and its route doesn't allow it to run twice. */
+    MayHaveRun = "mayHaveRun",
+    DeadlineNear = "deadlineNear",
+    NoRetryBudget = "noRetryBudget",
+}
+
 /** An attempt with its outcome. */
 interface AttemptResult {
     attempt: Attempt;
@@ -182,6 +191,7 @@
                 return;
             case "Counted":
                 if (!this.progress.mayRetry()) {
+                    this.logFinalAttempt(this.findFinalAttemptReason(), terms.detail);
                     throw this.progress.createFailure(terms.kind, terms.detail, this.search.retryDelaySeconds);
                 }
                 this.takeRetry(terms.kind, terms.detail);
@@ -474,10 +484,24 @@
         const hadReservedRetry = this.hasReservedRetry;
         this.hasReservedRetry = false;
         if (!hadReservedRetry && !this.dependencies.retryBudget.tryTake(this.progress.admission.service.name)) {
+            this.logFinalAttempt(FinalAttemptReason.NoRetryBudget, detail);
+            this.dependencies.metrics.count("repeats_refused_total");
             throw this.progress.createFailure(kind, detail, this.search.retryDelaySeconds);
         }
     }
 
+    private findFinalAttemptReason(): FinalAttemptReason {
+        const { attempts, admission } = this.progress;
+        if (!attempts.areLeft(admission.route.attempts)) {
+            return FinalAttemptReason.AttemptsUsedUp;
+        }
+        return this.progress.mayRunAgain ? FinalAttemptReason.DeadlineNear : FinalAttemptReason.MayHaveRun;
+    }
+
+    private logFinalAttempt(reason: FinalAttemptReason, detail: string): void {
+        this.progress.log("No further attempt is made.", undefined, { reason, detail });
+    }
+
     /**
      * Ends a request without a successful response: cuts a started stream, sends the failure response of an endpoint, or
      * rethrows `error`.
