Stale events end no second attempt, and start none

Two decisions took any event for progress. The second attempt beside a silent one was cancelled before the order of the event was checked, so an event that the caller already had cost it: the stream broke off, and the request was sent a third time with another retry. And the first event of a second attempt ended the silent one, also where it could not follow the caller's last event: the stream was cut although its endpoint went on.

The order is checked first in both places. A second attempt that begins with a stale event counts as broken off, and the first one goes on.

Tests, both red before: 3 arrivals for 2; a stream that was cut and is whole now. silentEndpoints, secondAttempts, requests, endlessLines, logs and layout pass (79).

--- a/src/core/forwarding/hedge.ts
+++ b/src/core/forwarding/hedge.ts
@@ -21,6 +21,8 @@
     send: (signal: AbortSignal) => Promise<DispatchOutcome>;
     /** Whether `outcome` serves the request. */
     serves: (outcome: DispatchOutcome) => outcome is ServingOutcome;
+    /** Throws if `event` can't follow the events that the caller has. */
+    checkOrder: (event: StreamEvent) => void;
     recordFailure: (outcome: FailedOutcome) => void;
 }
 
@@ -65,12 +67,21 @@
             const iterator = outcome.events[Symbol.asyncIterator]();
             const first = await iterator.next();
             this.closeStream = () => void iterator.return?.();
+            this.checkFirst(first);
             return { ...outcome, events: resume(first, iterator) };
         }
         catch (error) {
+            this.closeStream();
             return { type: error instanceof StreamStalledError ? "Silent" : "Broken", reason: describeError(error) };
         }
     }
+
+    /** An attempt that can't go on from the caller's last event must not end the one beside it. */
+    private checkFirst(first: IteratorResult<StreamEvent>): void {
+        if (!first.done && !this.controller.signal.aborted) {
+            this.actions.checkOrder(first.value);
+        }
+    }
 }
 
 /** Yields the events of a stream of which `first` has been read. */
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -395,6 +395,7 @@
         const hedge = new Hedge(attempt, this.progress.ended, {
             send: signal => this.send(attempt, signal, silent.endpoint),
             serves: outcome => this.serves(outcome),
+            checkOrder: event => this.progress.relay.checkOrder(event),
             recordFailure: outcome => {
                 this.retryTerms = this.failures.record(attempt, outcome);
                 // Where this attempt has become the running one, the terms alone say whether the next one takes a retry.
--- a/src/core/forwarding/streamRelay.ts
+++ b/src/core/forwarding/streamRelay.ts
@@ -4,7 +4,7 @@
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { Metrics } from "../metrics.js";
 
-/** Called while the events of one endpoint are relayed. */
+/** Called while the events of one endpoint are relayed, before each is written. */
 export interface EventListeners {
     onFirst: () => void;
     onEvent: () => void;
@@ -41,6 +41,18 @@
         return this.clock.now() - this.exchange.head.arrivedAt - (this.lastEventAt ?? 0);
     }
 
+    /**
+     * Events must arrive in the order of their identifiers. Otherwise a late response to an earlier attempt, or a stream that a
+     * faulty endpoint repeats, would give the caller events twice or out of order. Throws if `event` isn't the next one.
+     */
+    checkOrder({ id }: StreamEvent): void {
+        if (id !== undefined && this.lastEventId !== undefined && Number(id) <= Number(this.lastEventId)) {
+            throw new StreamBrokenError(
+                `expected increasing event identifiers, but event ${id} arrived after event ${this.lastEventId}`,
+            );
+        }
+    }
+
     /** Relays all events of one endpoint. Throws when the stream breaks off. */
     async relayEvents(
         head: ResponseHead,
@@ -49,12 +61,12 @@
     ): Promise<void> {
         let hasFirstEvent = false;
         for await (const event of events) {
+            this.checkOrder(event);
             if (!hasFirstEvent) {
                 hasFirstEvent = true;
                 onFirst();
             }
             onEvent();
-            this.checkOrder(event);
             this.recordTime();
             this.start(head);
             this.lastEventId = event.id ?? this.lastEventId;
@@ -70,18 +82,6 @@
         }
     }
 
-    /**
-     * Events must arrive in the order of their identifiers. Otherwise a late response to an earlier attempt, or a stream that a
-     * faulty endpoint repeats, would give the caller events twice or out of order.
-     */
-    private checkOrder({ id }: StreamEvent): void {
-        if (id !== undefined && this.lastEventId !== undefined && Number(id) <= Number(this.lastEventId)) {
-            throw new StreamBrokenError(
-                `expected increasing event identifiers, but event ${id} arrived after event ${this.lastEventId}`,
-            );
-        }
-    }
-
     private recordTime(): void {
         const now = Math.round(this.clock.now() - this.exchange.head.arrivedAt);
         if (this.firstEventAfter === undefined) {
