--- a/__tests__/forwarding/endlessLines.test.ts
+++ b/__tests__/forwarding/endlessLines.test.ts
@@ -1,8 +1,8 @@
 /** Endpoints whose streams hold lines that end no event, without end, beside sound endpoints. */
-import type { ServerResponse } from "node:http";
 import { expect, test } from "vitest";
 import type { ReplicaFault, ReplicaServer } from "../../platform/standins/replicaServer.js";
 import { systemClock } from "../../src/utils/clock.js";
+import { EndlessWriters, type Pace } from "./support/endlessWriters.js";
 import {
     call,
     type CallerResponse,
@@ -18,62 +18,9 @@
 const tokensPerEvent = 4;
 const allEvents = [...Array(eventCount).keys()].map(index => index + 1);
 const requestCount = 6;
-/** Time between two pieces of a stream that drips, in milliseconds. */
-const dripInterval = 20;
-const blockBytes = 64 * 1024;
 /** Deadline of the requests, in milliseconds. */
 const deadline = 2_000;
 
-type Pace = "fast" | "drip";
-
-/** Endpoints that write until their connections are closed, or until the end of the test. */
-class EndlessWriters {
-    private readonly responses = new Set<ServerResponse>();
-
-    get count(): number {
-        return this.responses.size;
-    }
-
-    /** Sends a stream of `piece` without end, in blocks or one piece each interval; its head after `headDelay` milliseconds. */
-    fault(piece: string, pace: Pace, headDelay = 0): ReplicaFault {
-        const block = Buffer.from(pace === "fast" ? piece.repeat(Math.ceil(blockBytes / piece.length)) : piece);
-        return ({ id }, response, replica) => {
-            this.responses.add(response);
-            response.once("close", () => this.responses.delete(response));
-            setTimeout(() => {
-                if (!response.destroyed) {
-                    response.writeHead(200, { ...replica.responseHeaders(id), "content-type": "text/event-stream" });
-                    this.writeNext(response, block, pace);
-                }
-            }, headDelay);
-            return true;
-        };
-    }
-
-    stop(): void {
-        for (const response of this.responses) {
-            response.destroy();
-        }
-    }
-
-    private writeNext(response: ServerResponse, block: Buffer, pace: Pace): void {
-        if (response.destroyed) {
-            return;
-        }
-        const isDrained = response.write(block);
-        const writeAgain = () => this.writeNext(response, block, pace);
-        if (pace === "drip") {
-            setTimeout(writeAgain, dripInterval);
-        }
-        else if (isDrained) {
-            setImmediate(writeAgain);
-        }
-        else {
-            response.once("drain", () => setImmediate(writeAgain));
-        }
-    }
-}
-
 interface EndlessSite {
     site: Site;
     entry: SiteEntry;
