--- a/__tests__/forwarding/eventStream.test.ts
+++ b/__tests__/forwarding/eventStream.test.ts
@@ -275,3 +275,10 @@
     expect(read.events.map(({ id }) => id)).toEqual(["7", undefined]);
     expect(read.error).toBeUndefined();
 });
+
+/** Guards against a byte order mark that is accepted before another line than the first. */
+test("byte order mark after an empty line", async () => {
+    const read = await readPieces(["\n\uFEFFid: 7\n\ndata: a\n\n"]);
+    expect(textsOf(read)).toHaveLength(1);
+    expect(read.events[0]!.id).toBeUndefined();
+});
--- a/src/adapters/forwarding/eventReader.ts
+++ b/src/adapters/forwarding/eventReader.ts
@@ -73,6 +73,7 @@
             if (!isBlockEnd) {
                 this.readField(bytes, start, lineEnd);
             }
+            this.isFirstLine = false;
             this.lineStart = lineEnd + 1;
             this.searchedLength = lineEnd + 1;
             if (!this.blockHasEventField && this.lineStart > maximumEventlessBytes) {
@@ -115,7 +116,6 @@
 
     private readField(bytes: Buffer, start: number, lineEnd: number): void {
         const nameStart = this.findNameStart(bytes, start);
-        this.isFirstLine = false;
         if (isFieldNamed(idName, bytes, nameStart)) {
             this.blockHasEventField = true;
             this.blockId ??= parseId(bytes, nameStart, start + lineEnd);
