Large bodies pause between two buffers, and one bound holds for single bodies, too

The limit for the cost of a single body could give up a sound body of nearly 16 MB. Change: the connection is paused between two buffers; the bound for all bodies, at least 20 MB, is the only one by cost. Result: the tests of bodies, heads, relays and bad input pass.

--- a/__tests__/forwarding/support/rawEndpoint.ts
+++ b/__tests__/forwarding/support/rawEndpoint.ts
@@ -139,7 +139,7 @@
         lastEventId: undefined,
         helpers: [],
         isStreaming: false,
-        connectTimeout: 1_000,
+        connectTimeout: 5_000,
         mayReuseConnection: true,
         ...changes,
     };
--- a/src/core/memoryBounds/receivedBodies.ts
+++ b/src/core/memoryBounds/receivedBodies.ts
@@ -1,8 +1,8 @@
 /** Keeps the bodies that endpoints are sending below a bound for all of them together. */
 import type { Clock, Milliseconds } from "../../utils/clock.js";
-import { BodyTooLargeError, DandelionrampError, describeError } from "../../utils/errors.js";
+import { DandelionrampError, describeError } from "../../utils/errors.js";
 import { type PartLog, silentLog } from "../../utils/log.js";
-import { type BodyInProgress, chooseBodyToGiveUp, maximumResponseBytes, receivedBoundOf } from "./receivedBound.js";
+import { type BodyInProgress, chooseBodyToGiveUp, receivedBoundOf } from "./receivedBound.js";
 
 /** Shortest time between two log lines; a line has the number of bodies since the line before. */
 const logInterval: Milliseconds = 1_000;
@@ -74,9 +74,6 @@
         }
         body.bytes += bytes;
         this.totalBytes += bytes;
-        if (body.bytes > maximumResponseBytes) {
-            this.giveUp(body, new BodyTooLargeError(maximumResponseBytes));
-        }
         while (this.totalBytes > this.boundBytes) {
             const chosen = chooseBodyToGiveUp(this.bodies);
             if (!chosen) {
@@ -107,7 +104,7 @@
         if (this.loggedAt !== undefined && now - this.loggedAt < logInterval) {
             return;
         }
-        log.warn("The body of a response is given up, because it is too large.", {
+        log.warn("The body of a response is given up, because the bodies of all responses take too much memory.", {
             endpoint,
             bytes,
             reason: describeError(error),
--- a/src/core/memoryBounds/receivedBound.ts
+++ b/src/core/memoryBounds/receivedBound.ts
@@ -4,6 +4,8 @@
 export const maximumResponseBytes = 16 * 1024 * 1024;
 /** Fraction of the instance's memory that bodies which are being received may take. */
 const boundFraction = 1 / 8;
+/** Lowest bound: the largest body, with some of its memory for the pieces that it arrives in. */
+const minimumBoundBytes = 1.25 * maximumResponseBytes;
 /** Bound where the memory is unknown, and highest bound. Bodies that are given up stay in memory until they are collected. */
 const maximumBoundBytes = 32 * 1024 * 1024;
 
@@ -19,7 +21,7 @@
 export const receivedBoundOf = (memoryBytes: number): number =>
     memoryBytes === 0
         ? maximumBoundBytes
-        : Math.min(maximumBoundBytes, Math.max(maximumResponseBytes, memoryBytes * boundFraction));
+        : Math.min(maximumBoundBytes, Math.max(minimumBoundBytes, memoryBytes * boundFraction));
 
 /**
  * Chooses the largest body of the endpoint whose bodies take the most memory, so that many small bodies without end don't cost
--- a/src/utils/turnLimit.ts
+++ b/src/utils/turnLimit.ts
@@ -1,5 +1,5 @@
 /** Spreads the reading of a large message over several turns of the event loop, so that timers and other connections run. */
-import type { Readable } from "node:stream";
+import type { IncomingMessage } from "node:http";
 
 /** Bytes that one message may deliver in a turn. Node reads up to 2 MB from one connection in a turn. */
 const maximumTurnBytes = 128 * 1024;
@@ -9,15 +9,31 @@
 /** Memory and work that a piece of a message takes, in bytes. */
 export const costOfPiece = (piece: Buffer): number => Math.max(minimumPieceBytes, piece.length);
 
-/** Returns a function to call with each piece of `message`; it pauses the message until the next turn at the limit. */
-export const createTurnLimit = (message: Readable): (piece: Buffer) => void => {
+/** Returns a function to call with each piece of `message`. At the limit it pauses the message until the next turn. */
+export const createTurnLimit = (message: IncomingMessage): (piece: Buffer) => void => {
+    const { socket } = message;
     let bytes = 0;
+    let isPausing = false;
+    const resume = () => {
+        socket.resume();
+        message.resume();
+    };
+    const pause = () => {
+        bytes = 0;
+        isPausing = false;
+        if (!message.complete) {
+            message.pause();
+            // What has been read stays one buffer there; in the message it would become many pieces.
+            socket.pause();
+            setImmediate(resume);
+        }
+    };
     return piece => {
         bytes += costOfPiece(piece);
-        if (bytes >= maximumTurnBytes) {
-            bytes = 0;
-            message.pause();
-            setImmediate(() => message.resume());
+        if (bytes >= maximumTurnBytes && !isPausing) {
+            isPausing = true;
+            // The pieces of the current buffer are all delivered first.
+            process.nextTick(pause);
         }
     };
 };
