--- a/src/adapters/entry.ts
+++ b/src/adapters/entry.ts
@@ -67,7 +67,7 @@
     const timeline = new Timeline(settings.instance.id, clock);
     // The peer server starts before the node, because the node announces its address and port 0 may have been requested.
     const nodeReference: { node?: EntryNode; } = {};
-    const peers = await servePeers(() => nodeReference.node!, settings.listen.peers);
+    const peers = await servePeers(() => nodeReference.node!, settings.listen.peers, clock);
     const node = new EntryNode(
         {
             id: settings.instance.id,
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -221,7 +221,8 @@
         this.metricsListener = await serveMetrics(listen.metrics, () => this.core.metrics.text(this.gauges()));
         this.peerStateListener = await listenOnSamePort(
             listen.peers,
-            address => servePeerState(address, this.peerStateSource, this.dependencies.log("peers")),
+            address =>
+                servePeerState(address, this.peerStateSource, this.dependencies.clock, this.dependencies.log("peers")),
             address => this.peerSocket.listen(address),
         );
         this.self.address = this.peerStateListener.address;
--- a/src/adapters/forwarding/peerStateServer.ts
+++ b/src/adapters/forwarding/peerStateServer.ts
@@ -26,6 +26,8 @@
 /** Version of the message format, raised with each incompatible change. Messages of another version are rejected. */
 const formatVersion = 1;
 const maximumQueryBytes = 4_096;
+/** Timeout for a query to arrive. Its sender has given up by then. */
+const queryTimeout: Milliseconds = 2_000;
 /** Limit on a response, uncompressed: all objects of a kind at most. */
 const maximumResponseBytes = 32 * 1024 * 1024;
 
@@ -115,7 +117,12 @@
 }
 
 /** Serves the state queries of other entries at `address`. */
-export const servePeerState = (address: string, source: PeerStateSource, log: PartLog): Promise<Listener> => {
+export const servePeerState = (
+    address: string,
+    source: PeerStateSource,
+    clock: Clock,
+    log: PartLog,
+): Promise<Listener> => {
     const server = new JSONRPCServer();
     const compressedResponses = new CompressedResponseCache();
     server.addMethod(stateMethod, parameters => {
@@ -130,7 +137,7 @@
     server.addMethod(membersMethod, parameters => source.listMembers(memberQuerySchema.parse(parameters).scope));
     return listen(address, async (request, response) => {
         try {
-            const query = (await readBody(request, maximumQueryBytes)).toString("utf8");
+            const query = (await readBody(request, maximumQueryBytes, { limit: queryTimeout, clock })).toString("utf8");
             const rpcRequest = JSON.parse(query) as JSONRPCRequest;
             const reply = JSON.stringify(await server.receive(rpcRequest));
             const headers = { "content-type": "application/json" };
@@ -148,6 +155,8 @@
         }
         catch (error) {
             log.warn("A state query is invalid.", { reason: describeError(error) });
+            // A query that exceeds the limit may have no end.
+            response.setHeader("connection", "close");
             sendJson(response, 400, {});
         }
     });
--- a/src/adapters/forwarding/relayConnection.ts
+++ b/src/adapters/forwarding/relayConnection.ts
@@ -8,6 +8,7 @@
 import type { EndpointRecord } from "../../types/routing.js";
 import { splitAddress } from "../../utils/address.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
+import { limitHeadBytes } from "../../utils/responseHeadLimit.js";
 
 /** Header with the identifier of the endpoint; its address may belong to another one by now. */
 export const relayEndpointHeader = "endpoint-id";
@@ -48,6 +49,7 @@
             headers: { [relayEndpointHeader]: endpoint.id, [relayTimeoutHeader]: String(connectTimeout) },
             agent: false,
         });
+        limitHeadBytes(request);
         const fail = (failure: ConnectFailure, reason: string) => {
             stopTimer();
             request.destroy();
--- a/src/adapters/peerServer.ts
+++ b/src/adapters/peerServer.ts
@@ -1,8 +1,20 @@
 /** Serves the methods that peers call, by JSON-RPC 2.0 over HTTP. */
 import { JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
-import { EntryNode, Heartbeat, listen, Listener, PermitRequest, readBody, sendJson } from "../internal.js";
+import {
+    Clock,
+    EntryNode,
+    Heartbeat,
+    listen,
+    Listener,
+    Milliseconds,
+    PermitRequest,
+    readBody,
+    sendJson,
+} from "../internal.js";
 
 const maximumBodyBytes = 8 * 1024 * 1024;
+/** Timeout for a call to arrive. Its sender has given up by then. */
+const bodyTimeout: Milliseconds = 2_000;
 
 /** RPC methods between entries. */
 export enum PeerMethod {
@@ -49,10 +61,10 @@
 };
 
 /** Listens at `address` for peers. `getNode` is called with the first request, because the node starts after this server. */
-export const servePeers = (getNode: () => EntryNode, address: string): Promise<Listener> => {
+export const servePeers = (getNode: () => EntryNode, address: string, clock: Clock): Promise<Listener> => {
     let server: JSONRPCServer | undefined;
     return listen(address, async (request, response) => {
-        const text = (await readBody(request, maximumBodyBytes)).toString("utf8");
+        const text = (await readBody(request, maximumBodyBytes, { limit: bodyTimeout, clock })).toString("utf8");
         server ??= createRpcServer(getNode());
         const rpcResponse = await server.receive(JSON.parse(text) as JSONRPCRequest);
         sendJson(response, 200, rpcResponse);
--- a/src/utils/httpClient.ts
+++ b/src/utils/httpClient.ts
@@ -3,7 +3,7 @@
 import type { Socket } from "node:net";
 import { gunzipSync } from "node:zlib";
 import { splitAddress } from "./address.js";
-import { collectBody } from "./bodies.js";
+import { type BodyLimits, collectBody } from "./bodies.js";
 import { BodyTooLargeError, describeError, ExchangeError } from "./errors.js";
 import { cancelOnAbort } from "./requestCancellation.js";
 import { limitHeadBytes } from "./responseHeadLimit.js";
@@ -86,12 +86,16 @@
 
 /**
  * Reads a complete body. Throws {@link BodyTooLargeError} if it exceeds `limitBytes`, and {@link ExchangeError} if it is
- * incomplete. The connection stays open in both cases, because a server still has to send its response. Clients use
+ * incomplete or does not arrive within `time`. The connection stays open in both cases, because a server still has to send its response. Clients use
  * {@link readResponseBody}.
  */
-export const readBody = async (body: http.IncomingMessage, limitBytes: number): Promise<Buffer> => {
+export const readBody = async (
+    body: http.IncomingMessage,
+    limitBytes: number,
+    time?: BodyLimits["time"],
+): Promise<Buffer> => {
     try {
-        return await collectBody(body, { bytes: limitBytes });
+        return await collectBody(body, { bytes: limitBytes, time });
     }
     catch (error) {
         if (error instanceof BodyTooLargeError) {
--- a/src/utils/httpServer.ts
+++ b/src/utils/httpServer.ts
@@ -23,7 +23,8 @@
         response.destroy();
         return;
     }
-    response.writeHead(500).end();
+    // The request may not have been read to its end, and may have none.
+    response.writeHead(500, { connection: "close" }).end();
 };
 
 /** Listens on `host:port`. Rejects with Node's error if the address is unavailable. */
