Limit on all bodies that services are sending

Cause: each body of a service may have 16 MB, and nothing limited all of them together. Change: ServiceClient gives up the largest body while more than 64 MB are being received.

--- a/__tests__/responseLimits.test.ts
+++ b/__tests__/responseLimits.test.ts
@@ -201,3 +201,28 @@
     const response = await new ServiceClient(systemClock).call(server.address, request, new AbortController().signal);
     expect(response).toMatchObject({ status: 200, body: Buffer.alloc(0) });
 });
+
+/** Guards against bodies of which each is within its limit, and which exhaust the memory together. */
+test("many large bodies of services are limited together, and a small one is whole", async () => {
+    const largeBodyBytes = 10 * oneMegabyte;
+    const head = `HTTP/1.1 200 OK\r\nContent-Length: ${largeBodyBytes + 1}\r\n\r\n`;
+    await using large = await serve(socket => socket.write(head + "x".repeat(largeBodyBytes)));
+    await using small = await serve(socket => socket.end("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+    const client = new ServiceClient(systemClock);
+    const controller = new AbortController();
+    const callOnce = (address: string) => client.call(address, serviceRequest, controller.signal);
+    let failureCount = 0;
+    const calls = Array.from({ length: 10 }, () =>
+        callOnce(large.address).catch(() => {
+            failureCount++;
+        }));
+    // Ten bodies of 10 MB exceed the 64 MB by four of them.
+    while (failureCount < 4) {
+        await systemClock.sleep(10);
+    }
+    await systemClock.sleep(300);
+    expect(failureCount).toBe(4);
+    expect((await callOnce(small.address)).body.toString()).toBe("ok");
+    controller.abort();
+    await Promise.all(calls);
+});
--- a/src/adapters/serviceClient.ts
+++ b/src/adapters/serviceClient.ts
@@ -1,4 +1,5 @@
 /** HTTP client for plain services. */
+import type { IncomingMessage } from "node:http";
 import {
     BodyTooLargeError,
     Clock,
@@ -18,6 +19,8 @@
 
 const reportTimeoutMilliseconds = 1_500;
 const maximumResponseBytes = 16 * 1024 * 1024;
+/** Limit on the bodies that are being received, over all calls. */
+const maximumReceivedBytes = 64 * 1024 * 1024;
 /** Response header of a service that has rejected a request without running it. */
 const notRunHeader = "x-not-run";
 
@@ -32,8 +35,54 @@
     return headers;
 };
 
+/** A body that is being received. */
+interface ReceivedBody {
+    message: IncomingMessage;
+    bytes: number;
+}
+
+/** Reads bodies, and gives up the largest one whenever all of them together exceed {@link maximumReceivedBytes}. */
+class BodyReader {
+    private readonly bodies = new Set<ReceivedBody>();
+    private receivedBytes = 0;
+
+    async read(message: IncomingMessage): Promise<Buffer> {
+        const body = { message, bytes: 0 };
+        this.bodies.add(body);
+        message.on("data", (piece: Buffer) => this.count(body, piece.length));
+        try {
+            return await readResponseBody(message, maximumResponseBytes);
+        }
+        finally {
+            this.remove(body);
+        }
+    }
+
+    private count(body: ReceivedBody, bytes: number): void {
+        if (!this.bodies.has(body)) {
+            return;
+        }
+        body.bytes += bytes;
+        this.receivedBytes += bytes;
+        if (this.receivedBytes <= maximumReceivedBytes) {
+            return;
+        }
+        const largest = [...this.bodies].reduce((first, second) => second.bytes > first.bytes ? second : first);
+        this.remove(largest);
+        largest.message.destroy(new BodyTooLargeError(maximumReceivedBytes));
+    }
+
+    private remove(body: ReceivedBody): void {
+        if (this.bodies.delete(body)) {
+            this.receivedBytes -= body.bytes;
+        }
+    }
+}
+
 /** Sends calls to plain services and fetches their load reports. */
 export class ServiceClient implements ServicePort {
+    private readonly bodyReader = new BodyReader();
+
     constructor(private readonly clock: Clock) {}
 
     async report(address: string): Promise<EndpointReport> {
@@ -60,7 +109,7 @@
                 signal,
                 freshConnection: true,
             });
-            const body = await readResponseBody(response.body, maximumResponseBytes);
+            const body = await this.bodyReader.read(response.body);
             if (response.status === 503 && response.headers[notRunHeader] === "true") {
                 throw new ServiceRefusedError(`${address} rejected the request without running it`);
             }
