Probe of responses without end: shorter requests to the other service

Beside lookups, the other service's one engine got 50 streams of 25 events a second, more than it serves: others' p95 was 689 ms with sound endpoints alone. They are streams of one event now: 12 ms in the same probe. The probe also ends its processes when it is ended by a signal; tried with SIGTERM while a probe ran, after which none was left.

--- a/__performance_tests__/endlessResponses.js
+++ b/__performance_tests__/endlessResponses.js
@@ -63,9 +63,18 @@
     });
 };
 
+/** Running processes, which end with this one. */
+const children = new Set();
+
+const keepUntilExit = child => {
+    children.add(child);
+    child.once("exit", () => children.delete(child));
+    return child;
+};
+
 /** The process with the store and the replicas. */
 class StandIns {
-    child = fork(standInsFile);
+    child = keepUntilExit(fork(standInsFile));
 
     async ask(command, commandOptions) {
         const answer = once(this.child, "message");
@@ -109,10 +118,10 @@
     constructor(number, store, seeds) {
         const settingsFile = join(folder, `entry-${number}.ini`);
         writeFileSync(settingsFile, settingsOf(number, store, seeds));
-        this.child = spawn(process.execPath, [entryFile], {
+        this.child = keepUntilExit(spawn(process.execPath, [entryFile], {
             env: { ...process.env, DANDELIONRAMP_SETTINGS: settingsFile },
             stdio: ["ignore", "pipe", "pipe"],
-        });
+        }));
         this.child.once("close", () => {
             this.hasExited = true;
         });
@@ -198,9 +207,9 @@
         request.end(body);
     });
 
-const generationOf = promptTokens => ({
+const generationOf = (promptTokens, answerTokens = eventCount * tokensPerEvent) => ({
     headers: {
-        "dandelionramp-token-count": `${promptTokens},${eventCount * tokensPerEvent}`,
+        "dandelionramp-token-count": `${promptTokens},${answerTokens}`,
         "dandelionramp-model": "m",
     },
 });
@@ -213,6 +222,9 @@
     order: address => call(address, "/replies/a", generationOf(longPrompt)),
 };
 
+/** One event: the engine of the other service has to keep up with one request per {@link otherIntervalMilliseconds}. */
+const sendShortGeneration = address => call(address, "/replies/a", generationOf(shortPrompt, tokensPerEvent));
+
 const wholeStream = /^(?:id: (\d+)\ndata: \S+ \1\n\n)*$/;
 const isStream = { stream: true, events: true, lookup: false, booking: false, order: true };
 
@@ -251,7 +263,7 @@
 const sendOthers = (entries, service) => {
     const pending = [];
     let index = 0;
-    const send = service === "models" ? senders.lookup : senders.stream;
+    const send = service === "models" ? senders.lookup : sendShortGeneration;
     const timer = setInterval(() => {
         pending.push(send(entries[index++ % entries.length].addresses.callers));
     }, otherIntervalMilliseconds);
@@ -375,9 +387,14 @@
     }
 };
 
-try {
-    await run();
-}
-finally {
+process.once("exit", () => {
+    for (const child of children) {
+        child.kill("SIGKILL");
+    }
     rmSync(folder, { recursive: true });
+});
+for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => process.exit(1));
 }
+
+await run();
