A byte order mark counts before an incomplete first line, too

Cause (found by the review): a long first field after a byte order mark, cut after 64 KB, was taken for bytes without an event; whole it was an event. Change: the name of the field is found in the same way for complete and incomplete lines.

--- a/__tests__/forwarding/eventStream.test.ts
+++ b/__tests__/forwarding/eventStream.test.ts
@@ -276,6 +276,14 @@
     expect(read.error).toBeUndefined();
 });
 
+/** Guards against a limit that doesn't know the first line as a field while it is incomplete. */
+test("byte order mark before a long first field", async () => {
+    const bytes = Buffer.from(`\uFEFFdata: ${"x".repeat(70_000)}\n\n`);
+    const read = await readPieces([bytes.subarray(0, 65_600), bytes.subarray(65_600)]);
+    expect(read.error).toBeUndefined();
+    expect(read.events).toHaveLength(1);
+});
+
 /** Guards against a byte order mark that is accepted before another line than the first. */
 test("byte order mark after an empty line", async () => {
     const read = await readPieces(["\n\uFEFFid: 7\n\ndata: a\n\n"]);
--- a/src/adapters/forwarding/eventReader.ts
+++ b/src/adapters/forwarding/eventReader.ts
@@ -157,7 +157,7 @@
     private checkIncompleteBlock(bytes: Buffer, start: number): void {
         if (
             this.pending.length > maximumEventlessBytes && !this.blockHasEventField
-            && !mayBecomeEventField(bytes, start + this.lineStart)
+            && !mayBecomeEventField(bytes, this.findNameStart(bytes, start))
         ) {
             throw new EventlessBytesError();
         }
