--- a/src/adapters/peerClient.ts
+++ b/src/adapters/peerClient.ts
@@ -18,7 +18,7 @@
 
 const callTimeoutMilliseconds = 800;
 /** Limit on a response: the whole configuration at most. */
-const maximumResponseBytes = 16 * 1024 * 1024;
+const maximumResponseBytes = 32 * 1024 * 1024;
 
 /** Client for the RPC methods of peers. */
 export class PeerClient implements PeerPort {
--- a/src/adapters/platformClient.ts
+++ b/src/adapters/platformClient.ts
@@ -21,7 +21,7 @@
 const watchMarginMilliseconds = 2_000;
 
 /** Limit on a response: the objects of several kinds. */
-const maximumResponseBytes = 16 * 1024 * 1024;
+const maximumResponseBytes = 32 * 1024 * 1024;
 
 const objectPath = (kind: ObjectKind, name: string): string => `/objects/${kind}/${encodeURIComponent(name)}`;
 
