Only bodies without a length share the bound of an entry

At 24 look-ups of 4 MB beside 8 sound endpoints 17 callers got 502 and the endpoints were blamed; all were whole before the bound. A 304 with a large length was given up, too. Change: a body with a length of at most 16 MB ends by itself and is read as before the bound. Responses to HEAD, 204 and 304 have any length. readResponseBody of this folder is receiveBody now, as httpClient has a function of that name. Sound bodies in chunks still share the bound.

--- a/__tests__/forwarding/endlessBodies.test.ts
+++ b/__tests__/forwarding/endlessBodies.test.ts
@@ -49,6 +49,26 @@
     ["of a failure", "500 Internal Server Error", ["Transfer-Encoding: chunked"], chunk(4_096)],
 ];
 
+/** The same for a status whose responses have no body. */
+test("response with status 304 has any length", async () => {
+    const lines = ["Content-Length: 99999999999"];
+    const endpoint = await start((socket, id) => socket.write(rawHead(id, "304 Not Modified", lines)));
+    expect(await send(newClient(), attemptOn(endpoint))).toMatchObject({ type: "Answered", head: { status: 304 } });
+});
+
+/** Guards against a bound for endless bodies that large bodies of sound endpoints meet. */
+test("sound bodies with a length are whole however many there are", async () => {
+    const bodyBytes = 4 * megabyte;
+    const body = "s".repeat(bodyBytes);
+    const head = [`Content-Length: ${bodyBytes}`];
+    const sound = await start((socket, id) => socket.write(rawHead(id, "200 OK", head) + body));
+    const client = newClient();
+    const outcomes = await Promise.all(Array.from({ length: 24 }, () => send(client, attemptOn(sound))));
+    for (const outcome of outcomes) {
+        expect(outcome).toMatchObject({ type: "Answered", body: { length: bodyBytes } });
+    }
+});
+
 /** Guards against memory that grows with the number of requests, and against the sound body being given up for the others. */
 test.each(endlessBodies)("60 bodies %s stay within one bound", async (...[, status, lines, text]) => {
     const endless = await start((socket, id) => {
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -26,7 +26,7 @@
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
 import { connectByRelay } from "./relayConnection.js";
-import { readResponseBody } from "./responseBody.js";
+import { receiveBody } from "./responseBody.js";
 import { drainResponse } from "./responseDrain.js";
 
 /** Statuses that guarantee callers that the request has not run; forwarded only if the endpoint gives that guarantee. */
@@ -327,10 +327,10 @@
     ): Promise<void> {
         try {
             const { request: { method, memory }, endpoint } = this.attempt;
-            const body = await readResponseBody(response, {
+            const body = await receiveBody(response, {
                 method,
                 memory,
-                account: this.options.bodies.open(endpoint.id, error => response.destroy(error)),
+                openAccount: () => this.options.bodies.open(endpoint.id, error => response.destroy(error)),
             });
             this.throwIfIncomplete(response);
             this.removeAbortListener();
--- a/src/adapters/forwarding/responseBody.ts
+++ b/src/adapters/forwarding/responseBody.ts
@@ -8,34 +8,41 @@
 import { BodyTooLargeError } from "../../utils/errors.js";
 import { costOfPiece } from "../../utils/turnLimit.js";
 
-/** What {@link readResponseBody} takes besides the response. */
+/** Statuses of responses without a body, whatever length their head announces. */
+const statusesWithoutBody = new Set([204, 304]);
+
+/** What {@link receiveBody} takes besides the response. */
 export interface BodyContext {
     /** Method of the request. */
     method: string;
     /** Account of the bytes that are buffered for the request; undefined where they are not bounded. */
     memory: RequestMemory | undefined;
-    /** Account of the body among those of all responses; it is closed at the end. */
-    account: ReceivedBody;
+    /** Opens the account of a body that may have no end; it is closed after the last byte. */
+    openAccount: () => ReceivedBody;
 }
 
 /** Resolves with the body of a response, whose completeness the caller checks. Rejects when it exceeds a bound. */
-export const readResponseBody = async (response: IncomingMessage, context: BodyContext): Promise<Buffer> => {
-    const { memory, account } = context;
+export const receiveBody = async (response: IncomingMessage, context: BodyContext): Promise<Buffer> => {
+    if (hasBody(response, context.method) && announcedBytes(response) > maximumResponseBytes) {
+        throw new BodyTooLargeError(maximumResponseBytes);
+    }
+    const { memory } = context;
+    // A body with a length ends by itself, however many there are.
+    const account = response.headers["content-length"] === undefined ? context.openAccount() : undefined;
     let receivedBytes = 0;
+    response.on("data", (bytes: Buffer) => {
+        receivedBytes += bytes.length;
+        memory?.change(HeldKind.Received, bytes.length);
+        account?.add(costOfPiece(bytes));
+    });
     try {
-        // The response to HEAD has the length of the response to another method.
-        if (context.method !== "HEAD" && announcedBytes(response) > maximumResponseBytes) {
-            throw new BodyTooLargeError(maximumResponseBytes);
-        }
-        response.on("data", (bytes: Buffer) => {
-            receivedBytes += bytes.length;
-            memory?.change(HeldKind.Received, bytes.length);
-            account.add(costOfPiece(bytes));
-        });
         return await collectBody(response, { bytes: maximumResponseBytes });
     }
     finally {
-        account.close();
+        account?.close();
         memory?.change(HeldKind.Received, -receivedBytes);
     }
 };
+
+const hasBody = ({ statusCode = 0 }: IncomingMessage, method: string): boolean =>
+    method !== "HEAD" && !statusesWithoutBody.has(statusCode);
--- a/src/core/memoryBounds/receivedBodies.ts
+++ b/src/core/memoryBounds/receivedBodies.ts
@@ -1,4 +1,4 @@
-/** Keeps the bodies that endpoints are sending below a bound for all of them together. */
+/** Keeps the bodies that endpoints are sending without a length, and perhaps without an end, below a bound for all of them. */
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { DandelionrampError, describeError } from "../../utils/errors.js";
 import { type PartLog, silentLog } from "../../utils/log.js";
--- a/src/core/memoryBounds/receivedBound.ts
+++ b/src/core/memoryBounds/receivedBound.ts
@@ -1,8 +1,8 @@
-/** Decides which response is given up when the bodies of all responses exceed their bound. Pure. */
+/** Decides which response is given up when all bodies without a length exceed their bound. Pure. */
 
 /** Limit for a response that is buffered in memory. Responses that are not streamed are far smaller. */
 export const maximumResponseBytes = 16 * 1024 * 1024;
-/** Fraction of the instance's memory that bodies which are being received may take. */
+/** Fraction of the instance's memory that these bodies may take, between the two limits below. */
 const boundFraction = 1 / 8;
 /** Lowest bound: the largest body, with some of its memory for the pieces that it arrives in. */
 const minimumBoundBytes = 1.25 * maximumResponseBytes;
