--- a/__tests__/forwarding/endlessBodies.test.ts
+++ b/__tests__/forwarding/endlessBodies.test.ts
@@ -1,43 +1,33 @@
 /** Endpoints whose bodies don't end, beside sound ones. */
 import type { Socket } from "node:net";
-import { afterEach, expect, test } from "vitest";
+import { expect, test } from "vitest";
 import {
     attemptOn,
     newClient,
-    RawEndpoint,
     rawHead,
-    type RawResponder,
     ReceivedBytes,
     send,
+    startEndpoint,
     writeWithoutEnd,
 } from "./support/rawEndpoint.js";
 import { until } from "./support/site.js";
 
 const megabyte = 1024 * 1024;
-const endpoints: RawEndpoint[] = [];
-
-afterEach(() => {
-    for (const endpoint of endpoints.splice(0)) {
-        endpoint.close();
-    }
-});
-
-const start = async (respond: RawResponder, id = `r-${endpoints.length}`): Promise<RawEndpoint> => {
-    const endpoint = await RawEndpoint.start(id, respond);
-    endpoints.push(endpoint);
-    return endpoint;
-};
 
 /** Guards against an attempt that waits for a body which it will not take. */
 test("length above the limit is given up at the head", async () => {
-    const endpoint = await start((socket, id) => socket.write(rawHead(id, "200 OK", ["Content-Length: 99999999999"])));
+    const endpoint = await startEndpoint((socket, id) =>
+        socket.write(rawHead(id, "200 OK", ["Content-Length: 99999999999"]))
+    );
     expect(await send(newClient(), attemptOn(endpoint))).toMatchObject({ type: "Broken" });
     await until(() => endpoint.sockets.size === 0);
 });
 
 /** Guards against the length of a body that is not sent being taken for one that is. */
 test("response to HEAD has any length", async () => {
-    const endpoint = await start((socket, id) => socket.write(rawHead(id, "200 OK", ["Content-Length: 99999999999"])));
+    const endpoint = await startEndpoint((socket, id) =>
+        socket.write(rawHead(id, "200 OK", ["Content-Length: 99999999999"]))
+    );
     expect(await send(newClient(), attemptOn(endpoint, { method: "HEAD" }))).toMatchObject({ type: "Answered" });
 });
 
@@ -52,7 +42,7 @@
 /** The same for a status whose responses have no body. */
 test("response with status 304 has any length", async () => {
     const lines = ["Content-Length: 99999999999"];
-    const endpoint = await start((socket, id) => socket.write(rawHead(id, "304 Not Modified", lines)));
+    const endpoint = await startEndpoint((socket, id) => socket.write(rawHead(id, "304 Not Modified", lines)));
     expect(await send(newClient(), attemptOn(endpoint))).toMatchObject({ type: "Answered", head: { status: 304 } });
 });
 
@@ -61,7 +51,7 @@
     const bodyBytes = 4 * megabyte;
     const body = "s".repeat(bodyBytes);
     const head = [`Content-Length: ${bodyBytes}`];
-    const sound = await start((socket, id) => socket.write(rawHead(id, "200 OK", head) + body));
+    const sound = await startEndpoint((socket, id) => socket.write(rawHead(id, "200 OK", head) + body));
     const client = newClient();
     const outcomes = await Promise.all(Array.from({ length: 24 }, () => send(client, attemptOn(sound))));
     for (const outcome of outcomes) {
@@ -71,13 +61,13 @@
 
 /** Guards against memory that grows with the number of requests, and against the sound body being given up for the others. */
 test.each(endlessBodies)("60 bodies %s stay within one bound", async (...[, status, lines, text]) => {
-    const endless = await start((socket, id) => {
+    const endless = await startEndpoint((socket, id) => {
         socket.write(rawHead(id, status, lines));
         writeWithoutEnd(socket, text);
     });
     const soundBytes = 6 * megabyte;
     let soundSocket: Socket | undefined;
-    const sound = await start((socket, id) => {
+    const sound = await startEndpoint((socket, id) => {
         soundSocket = socket;
         socket.write(rawHead(id, "200 OK", [`Content-Length: ${soundBytes}`]) + "s".repeat(soundBytes - 1));
     });
@@ -98,7 +88,7 @@
 
 /** Guards against millions of small buffers: each takes far more memory than its byte. */
 test("body in chunks of one byte is given up early", async () => {
-    const endpoint = await start((socket, id) => {
+    const endpoint = await startEndpoint((socket, id) => {
         socket.write(rawHead(id, "200 OK", ["Transfer-Encoding: chunked"]));
         writeWithoutEnd(socket, chunk(1));
     });
@@ -112,7 +102,7 @@
 test.each([["at once", 0], ["later", 50]])(
     "bytes without end after a whole response close the connection (%s)",
     async (...[, delay]) => {
-        const endpoint = await start((socket, id) => {
+        const endpoint = await startEndpoint((socket, id) => {
             const response = `${rawHead(id, "200 OK", ["Content-Length: 2"])}ok`;
             if (delay === 0) {
                 writeWithoutEnd(socket, response);
--- a/__tests__/forwarding/largeBodies.test.ts
+++ b/__tests__/forwarding/largeBodies.test.ts
@@ -1,31 +1,18 @@
 /** Large whole bodies: they arrive unchanged, and other connections run meanwhile. */
 import http from "node:http";
-import { afterEach, expect, test } from "vitest";
+import { expect, test } from "vitest";
 import { splitAddress } from "../../src/utils/address.js";
 import { collectBody } from "../../src/utils/bodies.js";
 import { ByteCollector } from "../../src/utils/byteCollector.js";
 import { seededRandom } from "../../src/utils/random.js";
-import { attemptOn, newClient, RawEndpoint, rawHead, type RawResponder, send } from "./support/rawEndpoint.js";
+import { attemptOn, newClient, rawHead, send, startEndpoint } from "./support/rawEndpoint.js";
 
 const megabyte = 1024 * 1024;
-const endpoints: RawEndpoint[] = [];
-
-afterEach(() => {
-    for (const endpoint of endpoints.splice(0)) {
-        endpoint.close();
-    }
-});
-
-const start = async (respond: RawResponder, id = `r-${endpoints.length}`): Promise<RawEndpoint> => {
-    const endpoint = await RawEndpoint.start(id, respond);
-    endpoints.push(endpoint);
-    return endpoint;
-};
 
 /** Guards against bytes that are lost or reordered where reading is paused or pieces are joined. */
 test("large whole bodies arrive unchanged", async () => {
     const body = Buffer.from(Array.from({ length: 10 * megabyte }, (...[, index]) => (index * 31) >> 5));
-    const endpoint = await start((socket, id) => {
+    const endpoint = await startEndpoint((socket, id) => {
         const isChunked = Number(id.split("-")[1]) % 2 === 0;
         if (!isChunked) {
             socket.write(rawHead(id, "200 OK", [`Content-Length: ${body.length}`]));
@@ -51,7 +38,7 @@
 
 /** Guards against one connection that keeps timers and other connections waiting. */
 test("body delivers a bounded number of bytes in one turn", async () => {
-    const endpoint = await start((socket, id) => {
+    const endpoint = await startEndpoint((socket, id) => {
         socket.write(rawHead(id, "200 OK", [`Content-Length: ${12 * megabyte}`]));
         socket.write(Buffer.alloc(12 * megabyte));
     });
--- a/__tests__/forwarding/support/rawEndpoint.ts
+++ b/__tests__/forwarding/support/rawEndpoint.ts
@@ -1,5 +1,6 @@
 /** Endpoints that send raw bytes over sockets, and attempts on them. */
 import net, { type AddressInfo, type Socket } from "node:net";
+import { afterEach } from "vitest";
 import { platformWire } from "../../../platform/forwardingWire.js";
 import { EndpointClient } from "../../../src/adapters/forwarding/endpointClient.js";
 import { HeldKind } from "../../../src/core/memoryBounds/heldBytes.js";
@@ -57,6 +58,24 @@
     }
 }
 
+const startedEndpoints: RawEndpoint[] = [];
+
+afterEach(() => {
+    for (const endpoint of startedEndpoints.splice(0)) {
+        endpoint.close();
+    }
+});
+
+/** Starts an endpoint, which is closed after the test. */
+export const startEndpoint = async (
+    respond: RawResponder,
+    id = `r-${startedEndpoints.length}`,
+): Promise<RawEndpoint> => {
+    const endpoint = await RawEndpoint.start(id, respond);
+    startedEndpoints.push(endpoint);
+    return endpoint;
+};
+
 /** Head of a signed response to the request `id`. */
 export const rawHead = (id: string, status: string, lines: string[] = []): string =>
     [
