--- a/__tests__/forwarding/comments.test.ts
+++ b/__tests__/forwarding/comments.test.ts
@@ -2,6 +2,7 @@
 import { expect, test } from "vitest";
 import type { ReplicaFault, ReplicaServer } from "../../platform/standins/replicaServer.js";
 import { systemClock } from "../../src/utils/clock.js";
+import { setFaults } from "./support/arrivalFaults.js";
 import { EndlessWriters, type Pace } from "./support/endlessWriters.js";
 import { call, type CallerResponse, eventIds, generation, Site, type SiteEntry, until } from "./support/site.js";
 
@@ -39,17 +40,6 @@
     }
 };
 
-/** The first arrival of a request has the fault `first`, and later ones have `second`. */
-const setFaults = (replicas: ReplicaServer[], first: ReplicaFault, second: ReplicaFault): void => {
-    let arrivalCount = 0;
-    for (const replica of replicas) {
-        replica.fault = (...reply) => {
-            arrivalCount++;
-            return arrivalCount === 1 ? first(...reply) : second(...reply);
-        };
-    }
-};
-
 const sendWhole: ReplicaFault = () => false;
 
 /** Sends comments, and all events after `silence` milliseconds. */
--- a/__tests__/forwarding/staleEvents.test.ts
+++ b/__tests__/forwarding/staleEvents.test.ts
@@ -4,6 +4,7 @@
 import type { ReplicaFault, ReplicaServer } from "../../platform/standins/replicaServer.js";
 import { SharedRetryBudget } from "../../src/core/budgets/sharedRetryBudget.js";
 import { systemClock } from "../../src/utils/clock.js";
+import { setFaults } from "./support/arrivalFaults.js";
 import { call, type CallerResponse, eventIds, generation, Site, type SiteEntry, until } from "./support/site.js";
 
 const eventCount = 5;
@@ -34,17 +35,6 @@
     }
 };
 
-/** The first arrival of a request has the fault `first`, and later ones have `second`. */
-const setFaults = (replicas: ReplicaServer[], first: ReplicaFault, second: ReplicaFault): void => {
-    let arrivalCount = 0;
-    for (const replica of replicas) {
-        replica.fault = (...reply) => {
-            arrivalCount++;
-            return arrivalCount === 1 ? first(...reply) : second(...reply);
-        };
-    }
-};
-
 const writeEvents = (response: ServerResponse, ids: readonly number[]): void => {
     if (!response.destroyed) {
         response.write(ids.map(id => `id: ${id}\ndata: event\n\n`).join(""));
