--- a/src/utils/httpClient.ts
+++ b/src/utils/httpClient.ts
@@ -3,7 +3,7 @@
 import type { Socket } from "node:net";
 import { gunzipSync } from "node:zlib";
 import { splitAddress } from "./address.js";
-import { type BodyLimits, collectBody } from "./bodies.js";
+import { announcedBytes, type BodyLimits, collectBody } from "./bodies.js";
 import { BodyTooLargeError, describeError, ExchangeError } from "./errors.js";
 import { cancelOnAbort } from "./requestCancellation.js";
 import { limitHeadBytes } from "./responseHeadLimit.js";
@@ -112,7 +112,7 @@
 export const readResponseBody = async (body: http.IncomingMessage, limitBytes: number): Promise<Buffer> => {
     try {
         // The response to a HEAD request announces a length and is already complete.
-        if (!body.complete && Number(body.headers["content-length"] ?? 0) > limitBytes) {
+        if (!body.complete && announcedBytes(body) > limitBytes) {
             throw new BodyTooLargeError(limitBytes);
         }
         return await readBody(body, limitBytes);
