Records of other writers that can't be used define no endpoint

Cause: the schema of a replica's record accepted any digits as its address and didn't look at `version` and `sequence`. `net.connect` throws at once for a port beyond 65535; the check of the links that follows a crash then rejects, nobody handles the rejection, and Node ends the process.

Now an address is an IPv4 address with a port from 1 to 65535, `version` and `sequence` are required as the platform's page lists them, and the name can stand in a header: with the name of a served replica that isn't ASCII each request placed there failed with 500.

"unreadable records define no endpoint" used a record without `version` and `sequence`; it has both now and checks more faults than before.

--- a/__tests__/forwarding/configuration.test.ts
+++ b/__tests__/forwarding/configuration.test.ts
@@ -219,19 +219,64 @@
     await until(() => entry.directory.usable("bookings").length === 0);
 });
 
+/** Record of an endpoint as the platform's page shows it. */
+const platformRecord = {
+    service: "s",
+    address: "10.0.0.1:80",
+    zone: "a",
+    version: "v1",
+    slots: 2,
+    state: "ready",
+    cold_remaining_ms: 0,
+    sequence: 4,
+};
+
 test("unreadable records define no endpoint", () => {
-    const record = { service: "s", address: "10.0.0.1:80", zone: "a", slots: 2, state: "ready", cold_remaining_ms: 0 };
-    expect(parseEndpoint("i", record)).toMatchObject({ service: "s", incarnation: 0 });
-    for (
-        const fault of [{ slots: "2" }, { state: "asleep" }, { address: 7 }, { cold_remaining_ms: undefined }, {
-            zone: {},
-        }]
-    ) {
-        expect(parseEndpoint("i", { ...record, ...fault })).toBeUndefined();
+    expect(parseEndpoint("i", platformRecord)).toMatchObject({ service: "s", incarnation: 0 });
+    expect(parseEndpoint("i", { ...platformRecord, version: 1 })).toBeDefined();
+    const faults = [
+        { slots: "2" },
+        { state: "asleep" },
+        { address: 7 },
+        { cold_remaining_ms: undefined },
+        { zone: {} },
+        { version: undefined },
+        { version: [] },
+        { sequence: undefined },
+        { sequence: "4" },
+    ];
+    for (const fault of faults) {
+        expect(parseEndpoint("i", { ...platformRecord, ...fault })).toBeUndefined();
     }
     expect(parseEndpoint("i", "bytes")).toBeUndefined();
 });
 
+for (
+    const address of [
+        "10.0.0.1:80800",
+        "10.0.0.1:65536",
+        "10.0.0.1:0",
+        "10.0.0.1:",
+        "10.0.0.1",
+        `10.0.0.1:${"9".repeat(400)}`,
+        "10.0.0.256:80",
+        "replica.example:80",
+    ]
+) {
+    test(`record with the address ${address.slice(0, 20)} defines no endpoint`, () => {
+        // Guards against connection attempts that throw, and against look-ups of host names.
+        expect(parseEndpoint("i", { ...platformRecord, address })).toBeUndefined();
+    });
+}
+
+test("record whose name can't stand in a header defines no endpoint", () => {
+    // Guards against requests that fail because their endpoint can't be named.
+    for (const name of ["\u03a91", "", "i 1", "i\r\n1", "i\u0000"]) {
+        expect(parseEndpoint(name, platformRecord)).toBeUndefined();
+    }
+    expect(parseEndpoint("i-7f3a91c2", { ...platformRecord, address: "10.0.0.1:65535" })).toBeDefined();
+});
+
 test("write is repeated after its response was lost", async () => {
     // The store writes an entry's record, but its response is lost. The entry writes again, and must not mistake its own record
     // for another entry's.
