Connections that can't even be tried fail as others do

Checks, attempts, carried connections at both ends and connections by way of another entry now turn the exception into the outcome of a failed connection: an attempt is unreached, which is true, as nothing was sent. Among datagrams an unusable address no longer stops the sends to the addresses behind it.

--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -20,6 +20,7 @@
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { describeError, isConnectionRefused } from "../../utils/errors.js";
 import { misdirectedRequestStatus } from "../../utils/httpStatus.js";
+import { createUnlessInvalid } from "../../utils/invalidArguments.js";
 import { cancelOnAbort } from "../../utils/requestCancellation.js";
 import { limitHeadBytes } from "../../utils/responseHeadLimit.js";
 import { EndpointAgent } from "./endpointAgent.js";
@@ -83,13 +84,19 @@
     isReplaced(endpoint: EndpointRecord, healthPath: string, timeout: Milliseconds): Promise<boolean> {
         const { wire } = this;
         return new Promise(resolve => {
-            const request = http.request({
-                ...splitAddress(endpoint.address),
-                method: "GET",
-                path: healthPath,
-                headers: ["Host", endpoint.address, ...wire.healthHeaders(endpoint)],
-                agent: false,
-            });
+            const request = createUnlessInvalid(() =>
+                http.request({
+                    ...splitAddress(endpoint.address),
+                    method: "GET",
+                    path: healthPath,
+                    headers: ["Host", endpoint.address, ...wire.healthHeaders(endpoint)],
+                    agent: false,
+                })
+            );
+            if (request instanceof Error) {
+                resolve(false);
+                return;
+            }
             limitHeadBytes(request);
             const finish = (isReplaced: boolean) => {
                 stopTimer();
@@ -109,7 +116,11 @@
     private checkOwnConnection({ address }: EndpointRecord, timeout: Milliseconds): Promise<ConnectionCheck> {
         const { host, port } = splitAddress(address);
         return new Promise(resolve => {
-            const socket = net.connect(port, host);
+            const socket = createUnlessInvalid(() => net.connect(port, host));
+            if (socket instanceof Error) {
+                resolve(ConnectionCheck.NoResponse);
+                return;
+            }
             const finish = (result: ConnectionCheck) => {
                 stopTimer();
                 socket.destroy();
@@ -175,7 +186,12 @@
             this.settle({ type: "Unreached", reason: "cancelled", failure: ConnectFailure.NoResponse });
             return;
         }
-        const request = this.createRequest();
+        const request = createUnlessInvalid(() => this.createRequest());
+        if (request instanceof Error) {
+            this.options.socket?.destroy();
+            this.settle({ type: "Unreached", reason: describeError(request), failure: ConnectFailure.NoResponse });
+            return;
+        }
         limitHeadBytes(request);
         this.removeAbortListener = cancelOnAbort(request, this.signal);
         const stopTimer = this.clock.after(this.attempt.connectTimeout, () => {
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -7,7 +7,7 @@
 import { SendResult } from "../../core/placement/failureTracker.js";
 import { type PeerChannelPort, type PeerPacket, RelayScope } from "../../ports/peerChannelPort.js";
 import { StateKind } from "../../ports/statePort.js";
-import { splitAddress } from "../../utils/address.js";
+import { isConnectable, splitAddress } from "../../utils/address.js";
 import { describeError } from "../../utils/errors.js";
 import type { PartLog } from "../../utils/log.js";
 import { crashNewsSchema } from "./crashNewsSchema.js";
@@ -212,6 +212,10 @@
             return Promise.resolve();
         }
         for (const address of this.addresses) {
+            if (!isConnectable(address)) {
+                this.logFailure(new Error(`${address} is not an address with a port`));
+                continue;
+            }
             const { host, port } = splitAddress(address);
             this.socket.send(bytes, port, host, error => {
                 if (error) {
--- a/src/adapters/forwarding/relayConnection.ts
+++ b/src/adapters/forwarding/relayConnection.ts
@@ -8,6 +8,8 @@
 import type { EndpointRecord } from "../../types/routing.js";
 import { splitAddress } from "../../utils/address.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
+import { describeError } from "../../utils/errors.js";
+import { createUnlessInvalid } from "../../utils/invalidArguments.js";
 import { limitHeadBytes } from "../../utils/responseHeadLimit.js";
 
 /** Header with the identifier of the endpoint; its address may belong to another one by now. */
@@ -42,13 +44,19 @@
     connectTimeout: Milliseconds,
 ): Promise<RelayedConnection> =>
     new Promise(resolve => {
-        const request = http.request({
-            ...splitAddress(relay),
-            method: "CONNECT",
-            path: endpoint.address,
-            headers: { [relayEndpointHeader]: endpoint.id, [relayTimeoutHeader]: String(connectTimeout) },
-            agent: false,
-        });
+        const request = createUnlessInvalid(() =>
+            http.request({
+                ...splitAddress(relay),
+                method: "CONNECT",
+                path: endpoint.address,
+                headers: { [relayEndpointHeader]: endpoint.id, [relayTimeoutHeader]: String(connectTimeout) },
+                agent: false,
+            })
+        );
+        if (request instanceof Error) {
+            resolve({ type: "Failed", failure: ConnectFailure.RelayUnavailable, reason: describeError(request) });
+            return;
+        }
         limitHeadBytes(request);
         const fail = (failure: ConnectFailure, reason: string) => {
             stopTimer();
--- a/src/adapters/forwarding/relayServer.ts
+++ b/src/adapters/forwarding/relayServer.ts
@@ -7,6 +7,7 @@
 import { splitAddress } from "../../utils/address.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { isConnectionRefused } from "../../utils/errors.js";
+import { createUnlessInvalid } from "../../utils/invalidArguments.js";
 import { parseNonNegativeNumber } from "../../utils/numbers.js";
 import { relayEndpointHeader, RelayStatus, relayTimeoutHeader } from "./relayConnection.js";
 
@@ -68,7 +69,11 @@
             return;
         }
         const { host, port } = splitAddress(address);
-        const endpointSocket = net.connect(port, host);
+        const endpointSocket = createUnlessInvalid(() => net.connect(port, host));
+        if (endpointSocket instanceof Error) {
+            this.answer(RelayStatus.Unavailable);
+            return;
+        }
         guard.openConnections++;
         endpointSocket.once("close", () => guard.openConnections--);
         const stopTimer = clock.after(this.connectTimeout, () => {
