--- a/__tests__/forwarding/program.test.ts
+++ b/__tests__/forwarding/program.test.ts
@@ -82,6 +82,24 @@
     expect(await entry.exited).toBe(0);
 });
 
+test("failure of work that nobody awaits doesn't end the process", async () => {
+    // Guards against one failed background task that cuts all requests in progress.
+    const failing = path.join(folder, "failing.cjs");
+    writeFileSync(failing, "process.on(\"SIGUSR2\", () => { Promise.reject(new Error(\"injected\")); });");
+    writeFileSync(settingsFile, await settingsText());
+    const entry = running = new EntryProcess(program, settingsFile, ["--require", failing]);
+    const addresses = await entry.started();
+    await untilReadinessIs(addresses, 200);
+    entry.child.kill("SIGUSR2");
+    const total = async () => (await call(addresses.metrics, "/metrics", { method: "GET" })).body;
+    for (let attempt = 0; attempt < 200 && !entry.output.includes("injected"); attempt++) {
+        await systemClock.sleep(20);
+    }
+    expect(await total()).toContain("unhandled_rejections_total 1");
+    expect(entry.output).toContain("process: Work that nobody awaits has failed.");
+    expect(await readinessOf(addresses)).toBe(200);
+});
+
 test("SIGTERM ends an idle entry within the grace period", async () => {
     const entry = start(await settingsText());
     const addresses = await entry.started();
--- a/__tests__/forwarding/support/entryProgram.ts
+++ b/__tests__/forwarding/support/entryProgram.ts
@@ -41,8 +41,9 @@
     output = "";
     private hasExited = false;
 
-    constructor(program: string, settingsFile: string) {
-        this.child = spawn(process.execPath, [program], {
+    /** `nodeOptions`: options of Node before the program. */
+    constructor(program: string, settingsFile: string, nodeOptions: readonly string[] = []) {
+        this.child = spawn(process.execPath, [...nodeOptions, program], {
             env: { ...process.env, DANDELIONRAMP_SETTINGS: settingsFile },
         });
         const appendOutput = (chunk: Buffer) => {
