Links are judged by endpoints of configured services alone

Evidence: "record of a service that isn't configured says nothing about links" fails without the change (1 connection, 0 expected).

--- a/__tests__/forwarding/foreignRecords.test.ts
+++ b/__tests__/forwarding/foreignRecords.test.ts
@@ -6,6 +6,7 @@
 import type { ReplicaServer } from "../../platform/standins/replicaServer.js";
 import { type Milliseconds, systemClock } from "../../src/utils/clock.js";
 import { buildProgram, EntryProcess, settingsText } from "./support/entryProgram.js";
+import { startEndpoint } from "./support/rawEndpoint.js";
 import { call, Site } from "./support/site.js";
 
 const folder = mkdtempSync(path.join(tmpdir(), "dandelionramp-foreign-"));
@@ -60,6 +61,22 @@
     return replica;
 };
 
+test("record of a service that isn't configured says nothing about links", async () => {
+    // Guards against an entry that takes a link for sound, or for lost, because of an address that serves no route.
+    await startReplica("i-1", "north-a");
+    const crashing = await startReplica("i-2", "north-b");
+    const other = await startEndpoint(() => {});
+    site.record("prn-4", { service: "print-queue", address: other.record.address, zone: "depot" });
+    const { callers } = await site.start("entry-1");
+    const answered = Promise.all(
+        Array.from({ length: requestCount }, () => call(callers, "/places/a").catch(() => undefined)),
+    );
+    await systemClock.sleep(crashDelay);
+    crashing.crash();
+    await answered;
+    expect(other.connectionCount).toBe(0);
+});
+
 for (const [description, record] of Object.entries(unusable)) {
     test(`endpoint crashes beside a record ${description}`, async () => {
         // Guards against an entry that ends by itself, with all requests in progress, when it checks its links to endpoints.
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -20,7 +20,7 @@
 import { ActiveConfiguration } from "./configuration/activeConfiguration.js";
 import { Forwarder } from "./forwarding/forwarder.js";
 import type { PlannedStop } from "./forwarding/forwardingDependencies.js";
-import { EndpointDirectory } from "./membership/endpointDirectory.js";
+import { EndpointDirectory, type KnownEndpoint } from "./membership/endpointDirectory.js";
 import { EndpointReports } from "./membership/endpointReports.js";
 import type { DigestScope, MemberList } from "./membership/memberDigest.js";
 import { Membership } from "./membership/membership.js";
@@ -257,7 +257,7 @@
             random,
             log: log("links"),
             endpointPort: dependencies.endpointPort,
-            listed: () => this.directory.listed(),
+            listed: () => this.configuredEndpoints(),
         });
         this.links.onChange = () => this.peers.publishEndpointReport();
         const relays = new Relays({ clock, random, dataCentre, livingPeers: () => this.peers.livingPeers() });
@@ -413,6 +413,12 @@
         return state === EndpointState.Draining || this.reportedStates.isLeaving(endpoint);
     }
 
+    /** The listed endpoints of services that the configuration names. A record of another service may be another writer's. */
+    private configuredEndpoints(): KnownEndpoint[] {
+        const { routes } = this.configuration;
+        return this.directory.listed().filter(({ record }) => routes?.service(record.service) !== undefined);
+    }
+
     private async isReplaced(endpoint: EndpointRecord, endpointPort: EndpointPort): Promise<boolean> {
         const healthPath = this.configuration.routes?.service(endpoint.service)?.healthPath;
         const isReplaced = healthPath !== undefined
