A carrying entry passes on a reset that comes with the last bytes

Cause: Node reports a reset that arrives together with the last bytes as an ordinary end. The entry that asks knows that and reads the remote address, which is gone after a reset; the entry that carries didn't, and ended the carried connection in the ordinary way, which is the end of such an answer. Both use `watchEnd` now, and the carrier resets the carried connection.

--- a/__tests__/forwarding/relayBytes.test.ts
+++ b/__tests__/forwarding/relayBytes.test.ts
@@ -97,3 +97,19 @@
     expect(outcome.type).toBe("Broken");
     await until(() => endpoint.sockets.size === 0 && guard.openConnections === 0);
 });
+
+/** Attempts at endpoints that reset their responses; a carrier reads the last bytes and the reset at once in some of them. */
+const resetAttempts = 150;
+
+/** Guards against half an answer passed on as a whole one, when the endpoint's reset arrives together with its last bytes. */
+test("response without a length that is reset at once by way of another entry is broken", async () => {
+    endpoint = await RawEndpoint.start("r-0", (socket, id) => {
+        socket.write(rawHead(id, "200 OK", ["Connection: close"]) + "h".repeat(1_500));
+        socket.resetAndDestroy();
+    });
+    const client = newClient();
+    const outcomes = await Promise.all(
+        Array.from({ length: resetAttempts }, () => send(client, attemptOn(endpoint, { relay: carrier.address }))),
+    );
+    expect(outcomes.filter(({ type }) => type !== "Broken")).toEqual([]);
+});
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -23,6 +23,7 @@
 import { createUnlessInvalid } from "../../utils/invalidArguments.js";
 import { cancelOnAbort } from "../../utils/requestCancellation.js";
 import { limitHeadBytes } from "../../utils/responseHeadLimit.js";
+import { SocketEnd, watchEnd } from "../../utils/socketEnd.js";
 import { EndpointAgent } from "./endpointAgent.js";
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
@@ -358,19 +359,14 @@
         }
     }
 
-    /**
-     * Detects a connection reset at the end of a body without a length. Such a body ends with its connection, and Node reports
-     * a reset that arrives together with the last bytes as an ordinary end, so a truncated body would look complete. After a
-     * reset the socket has no remote address any more; after an ordinary end it has. The address is read before Node closes the
-     * socket.
-     */
+    /** Detects a connection reset at the end of a body without a length, which ends with its connection. */
     private watchForReset(response: http.IncomingMessage): void {
         const { headers, socket } = response;
         if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) {
             return;
         }
-        socket.prependOnceListener("end", () => {
-            if (socket.remoteAddress === undefined) {
+        watchEnd(socket, end => {
+            if (end === SocketEnd.Reset) {
                 this.connectionError ??= "the connection was reset";
             }
         });
--- a/src/adapters/forwarding/relayServer.ts
+++ b/src/adapters/forwarding/relayServer.ts
@@ -9,6 +9,7 @@
 import { isConnectionRefused } from "../../utils/errors.js";
 import { createUnlessInvalid } from "../../utils/invalidArguments.js";
 import { parseNonNegativeNumber } from "../../utils/numbers.js";
+import { SocketEnd, watchEnd } from "../../utils/socketEnd.js";
 import { relayEndpointHeader, RelayStatus, relayTimeoutHeader } from "./relayConnection.js";
 
 /** Upper bound of the connect timeout that another entry asks for. */
@@ -133,8 +134,13 @@
     }
 }
 
-/** Resets `other` when `socket` fails or closes before both have ended. */
+/** Resets `other` when `socket` is reset, fails or closes before both have ended. */
 const resetWith = (socket: Socket, other: Socket): void => {
+    watchEnd(socket, end => {
+        if (end === SocketEnd.Reset) {
+            other.resetAndDestroy();
+        }
+    });
     socket.once("error", () => other.resetAndDestroy());
     socket.once("close", () => {
         if (!socket.readableEnded) {
