The end of a carried response counts only if the carrying entry declares it

An entry that asks for a carried connection now asks for frames; the carrying entry puts the endpoint's bytes into frames, each behind its length, and an empty frame declares that the endpoint has closed the connection. Any other end cuts the response: the outcome of the attempt is unknown, so that a request that may be repeated goes elsewhere and no other one does. Lengths and chunks are unchanged. Entries of earlier versions get and send bytes without frames; a response without a length that comes by way of one of them counts as cut.

--- /dev/null
+++ b/__tests__/forwarding/carriedEnds.test.ts
@@ -0,0 +1,146 @@
+/** Responses that end with their connection, by way of another entry. */
+import fc from "fast-check";
+import http from "node:http";
+import net, { type AddressInfo, type Socket } from "node:net";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { FrameDecoder } from "../../src/adapters/forwarding/relayFrames.js";
+import { type ConnectionGuard, serveRelay } from "../../src/adapters/forwarding/relayServer.js";
+import type { AttemptOutcome, StreamEvent } from "../../src/ports/forwardingPorts.js";
+import { splitAddress } from "../../src/utils/address.js";
+import { systemClock } from "../../src/utils/clock.js";
+import { listen, type Listener } from "../../src/utils/httpServer.js";
+import { attemptOn, newClient, type RawEndpoint, rawHead, send, startEndpoint } from "./support/rawEndpoint.js";
+import { until } from "./support/site.js";
+
+let carrier: Listener;
+let endpoint: RawEndpoint;
+let guard: ConnectionGuard;
+let carriedSocket: Socket | undefined;
+
+beforeEach(async () => {
+    carrier = await listen("127.0.0.1:0", () => Promise.resolve());
+    guard = { openConnections: 0, admit: () => endpoint.record, judgesFailure: () => Promise.resolve(true) };
+    carriedSocket = undefined;
+    serveRelay(carrier.server, { clock: systemClock, guard, onCarried: () => {}, onConnected: () => {} });
+    carrier.server.on("connect", (...[, socket]) => {
+        carriedSocket = socket as Socket;
+    });
+});
+
+afterEach(() => carrier.close());
+
+const unframed = (id: string, lines: string[] = []): string => rawHead(id, "200 OK", ["Connection: close", ...lines]);
+const bodyOf = (outcome: AttemptOutcome): string =>
+    outcome.type === "Answered" ? outcome.body.toString("latin1") : outcome.type;
+const whole = "0123456789".repeat(20_000);
+
+test("carried response without a length that its endpoint ends is whole", async () => {
+    endpoint = await startEndpoint((socket, id) => socket.end(unframed(id) + whole));
+    const outcome = await send(newClient(), attemptOn(endpoint, { relay: carrier.address }));
+    expect(bodyOf(outcome)).toBe(whole);
+    await until(() => endpoint.sockets.size === 0 && guard.openConnections === 0);
+});
+
+test("carried response without a length is broken when the carrying process ends", async () => {
+    // Guards against half an answer that looks whole: the system of a killed process closes its connections in the ordinary way.
+    endpoint = await startEndpoint((socket, id) => socket.write(unframed(id) + "half"));
+    const answered = send(newClient(), attemptOn(endpoint, { relay: carrier.address }));
+    await until(() => (carriedSocket?.bytesWritten ?? 0) > unframed("").length);
+    carriedSocket!.end();
+    expect((await answered).type).toBe("Broken");
+});
+
+test("carried stream without a length is broken when the carrying process ends", async () => {
+    // Guards against a stream whose last events are missing and that looks whole.
+    endpoint = await startEndpoint((socket, id) => socket.write(`${unframed(id)}id: 1\ndata: a\n\n`));
+    const outcome = await send(newClient(), attemptOn(endpoint, { relay: carrier.address, isStreaming: true }));
+    if (outcome.type !== "Streaming") {
+        throw new Error(`expected a stream, got ${outcome.type}`);
+    }
+    const iterator = outcome.events[Symbol.asyncIterator]();
+    const first = await iterator.next() as IteratorResult<StreamEvent, undefined>;
+    expect(first.done).toBeFalsy();
+    carriedSocket!.end();
+    await expect(iterator.next()).rejects.toThrow("the response was cut");
+});
+
+/** Starts an entry of an earlier version, which copies the bytes of the endpoint without frames. */
+const startEarlierCarrier = async (): Promise<{ address: string; close: () => void; }> => {
+    const server = http.createServer();
+    server.on("connect", (request, socket) => {
+        const { host, port } = splitAddress(request.url ?? "");
+        const endpointSocket = net.connect(port, host, () => {
+            socket.write("HTTP/1.1 200 Connected\r\n\r\n");
+            socket.pipe(endpointSocket).pipe(socket);
+        });
+        socket.on("error", () => endpointSocket.destroy());
+        endpointSocket.on("error", () => socket.destroy());
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, close: () => server.close() };
+};
+
+const responses = [
+    { name: "a length", head: ["Content-Length: 4"], body: "four", expected: "four" },
+    { name: "chunks", head: ["Transfer-Encoding: chunked"], body: "4\r\nfour\r\n0\r\n\r\n", expected: "four" },
+    { name: "neither", head: [], body: "four", expected: "Broken" },
+];
+
+for (const { name, head, body, expected } of responses) {
+    test(`response with ${name} by way of an entry of an earlier version`, async () => {
+        // Guards against trust in an end that the other entry doesn't declare, during an upgrade.
+        endpoint = await startEndpoint((socket, id) => socket.end(unframed(id, head) + body));
+        const earlier = await startEarlierCarrier();
+        const outcome = await send(newClient(), attemptOn(endpoint, { relay: earlier.address }));
+        expect(bodyOf(outcome)).toBe(expected);
+        earlier.close();
+    });
+}
+
+test("response without a body by way of an entry of an earlier version", async () => {
+    endpoint = await startEndpoint((socket, id) => socket.end(rawHead(id, "204 No Content")));
+    const earlier = await startEarlierCarrier();
+    const outcome = await send(newClient(), attemptOn(endpoint, { relay: earlier.address }));
+    expect(bodyOf(outcome)).toBe("");
+    earlier.close();
+});
+
+test("entry of an earlier version gets bytes without frames", async () => {
+    // Guards against frames in an answer that an entry of an earlier version passes on to its caller.
+    endpoint = await startEndpoint((socket, id) => socket.end(`${unframed(id)}four`));
+    const { host, port } = splitAddress(carrier.address);
+    const { address, id } = endpoint.record;
+    const request = http.request({ host, port, method: "CONNECT", path: address, headers: { "endpoint-id": id } });
+    const text = await new Promise<string>(resolve => {
+        request.once("connect", (...[, socket]) => {
+            let received = "";
+            socket.on("data", (bytes: Buffer) => received += bytes.toString("latin1"));
+            socket.once("end", () => resolve(received));
+            socket.write("GET / HTTP/1.1\r\nRequest-Id: r\r\n\r\n");
+        });
+        request.end();
+    });
+    expect(text).toBe(`${unframed("r")}four`);
+});
+
+test("frames are read alike however they arrive", () => {
+    // Guards against content that is lost or taken for a header where a piece ends inside a frame.
+    const contents = fc.array(fc.uint8Array({ minLength: 1, maxLength: 40 }), { maxLength: 8 });
+    fc.assert(
+        fc.property(contents, fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }), (frames, sizes) => {
+            const headerOf = (length: number): Buffer => Buffer.from([0, 0, 0, length]);
+            const bytes = Buffer.concat([...frames.flatMap(frame => [headerOf(frame.length), frame]), headerOf(0)]);
+            const decoder = new FrameDecoder();
+            const read: Buffer[] = [];
+            for (let position = 0, index = 0; position < bytes.length; index++) {
+                expect(decoder.isEnded).toBe(false);
+                const size = sizes[index % sizes.length]!;
+                read.push(...decoder.read(bytes.subarray(position, position + size)));
+                position += size;
+            }
+            expect(decoder.isEnded).toBe(true);
+            expect(Buffer.concat(read)).toEqual(Buffer.concat(frames));
+        }),
+        { seed: 1 },
+    );
+});
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -1,6 +1,6 @@
 /** Sends attempts to endpoints over HTTP and classifies the outcome of each. */
 import http from "node:http";
-import net, { type Socket } from "node:net";
+import net from "node:net";
 import { HeldKind } from "../../core/memoryBounds/heldBytes.js";
 import { ReceivedBodies } from "../../core/memoryBounds/receivedBodies.js";
 import {
@@ -27,8 +27,8 @@
 import { EndpointAgent } from "./endpointAgent.js";
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
-import { connectByRelay } from "./relayConnection.js";
-import { receiveBody } from "./responseBody.js";
+import { type CarriedConnection, connectByRelay } from "./relayConnection.js";
+import { hasBody, receiveBody } from "./responseBody.js";
 import { drainResponse } from "./responseDrain.js";
 
 /** Statuses that guarantee callers that the request has not run; forwarded only if the endpoint gives that guarantee. */
@@ -63,7 +63,7 @@
         if (connection.type === "Failed") {
             return { ...connection, type: "Unreached" };
         }
-        return await EndpointExchange.run({ ...options, socket: connection.socket });
+        return await EndpointExchange.run({ ...options, carried: connection });
     }
 
     async checkConnection(
@@ -143,10 +143,10 @@
     attempt: EndpointAttempt;
     signal: AbortSignal;
     onReport: ReportListener;
-    /** Connects to the endpoint; undefined where `socket` is connected to it. */
+    /** Connects to the endpoint; undefined where `carried` is connected to it. */
     agent?: http.Agent;
     /** A connection that another entry carries. */
-    socket?: Socket;
+    carried?: CarriedConnection;
     /** Called when a new connection is established. */
     onConnected?: () => void;
 }
@@ -183,13 +183,13 @@
 
     private start(): void {
         if (this.signal.aborted) {
-            this.options.socket?.destroy();
+            this.options.carried?.socket.destroy();
             this.settle({ type: "Unreached", reason: "cancelled", failure: ConnectFailure.NoResponse });
             return;
         }
         const request = createUnlessInvalid(() => this.createRequest());
         if (request instanceof Error) {
-            this.options.socket?.destroy();
+            this.options.carried?.socket.destroy();
             this.settle({ type: "Unreached", reason: describeError(request), failure: ConnectFailure.NoResponse });
             return;
         }
@@ -253,10 +253,10 @@
 
     private createRequest(): http.ClientRequest {
         const { request, endpoint, mayReuseConnection } = this.attempt;
-        const { agent, socket } = this.options;
+        const { agent, carried } = this.options;
         // An idle connection may be closing while the request is in flight, and then it is unknown whether the request ran.
-        const connection = socket
-            ? { createConnection: () => socket }
+        const connection = carried
+            ? { createConnection: () => carried.socket }
             : { agent: mayReuseConnection ? agent : false };
         return http.request({
             ...splitAddress(endpoint.address),
@@ -291,7 +291,7 @@
         response.on("error", error => {
             this.connectionError ??= describeError(error);
         });
-        this.watchForReset(response);
+        this.watchEndOfBody(response);
         if (!this.isResponseToAttempt(facts, request)) {
             request.destroy();
             this.settle({
@@ -359,17 +359,29 @@
         }
     }
 
-    /** Detects a connection reset at the end of a body without a length, which ends with its connection. */
-    private watchForReset(response: http.IncomingMessage): void {
+    /**
+     * Detects that a body without a length, which ends with its connection, was cut. Over a carried connection the end counts
+     * only if the carrying entry declares it; an earlier version of an entry doesn't.
+     */
+    private watchEndOfBody(response: http.IncomingMessage): void {
         const { headers, socket } = response;
-        if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) {
+        const endsWithConnection = headers["content-length"] === undefined
+            && headers["transfer-encoding"] === undefined
+            && hasBody(response, this.attempt.request.method);
+        if (!endsWithConnection) {
             return;
         }
-        watchEnd(socket, end => {
-            if (end === SocketEnd.Reset) {
-                this.connectionError ??= "the connection was reset";
-            }
-        });
+        const { carried } = this.options;
+        if (carried === undefined) {
+            watchEnd(socket, end => {
+                if (end === SocketEnd.Reset) {
+                    this.connectionError ??= "the connection was reset";
+                }
+            });
+        }
+        else if (!carried.declaresEnd) {
+            this.connectionError = "the entry that carried the response doesn't declare its end";
+        }
     }
 
     /**
--- a/src/adapters/forwarding/relayConnection.ts
+++ b/src/adapters/forwarding/relayConnection.ts
@@ -1,9 +1,10 @@
 /**
  * Opens connections to endpoints by way of another entry, through HTTP's `CONNECT`. The other entry copies the bytes in both
- * directions and doesn't read them.
+ * directions and doesn't read them. It puts the bytes of the endpoint into frames; an earlier version of an entry doesn't.
  */
 import http from "node:http";
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { ConnectFailure } from "../../ports/forwardingPorts.js";
 import type { EndpointRecord } from "../../types/routing.js";
 import { splitAddress } from "../../utils/address.js";
@@ -11,12 +12,17 @@
 import { describeError } from "../../utils/errors.js";
 import { createUnlessInvalid } from "../../utils/invalidArguments.js";
 import { limitHeadBytes } from "../../utils/responseHeadLimit.js";
+import { FramedConnection } from "./framedConnection.js";
 
 /** Header with the identifier of the endpoint; its address may belong to another one by now. */
 export const relayEndpointHeader = "endpoint-id";
 /** Header with the timeout for the connection to the endpoint, in milliseconds. */
 export const relayTimeoutHeader = "connect-timeout-ms";
 
+/** Header of the request and of the answer: the bytes of the endpoint come in frames, see {@link sendFrames}. */
+export const relayFramingHeader = "response-framing";
+export const relayFraming = "frames";
+
 /** Statuses of the other entry's answer. */
 export enum RelayStatus {
     Connected = 200,
@@ -31,9 +37,16 @@
 /** Time that the other entry has, beyond the connect timeout, to find out whether it reaches other endpoints. */
 const relayAnswerMargin: Milliseconds = 150;
 
+/** A connection that another entry carries. */
+export interface CarriedConnection {
+    socket: Duplex;
+    /** Whether the connection ends in the ordinary way only when the endpoint has ended it. */
+    declaresEnd: boolean;
+}
+
 /** A connection that another entry carries, or why there is none. */
 export type RelayedConnection =
-    | { type: "Connected"; socket: Socket; }
+    | ({ type: "Connected"; } & CarriedConnection)
     | { type: "Failed"; failure: ConnectFailure; reason: string; };
 
 /** Asks the entry at `relay` for a connection to `endpoint`. Never rejects. */
@@ -49,7 +62,11 @@
                 ...splitAddress(relay),
                 method: "CONNECT",
                 path: endpoint.address,
-                headers: { [relayEndpointHeader]: endpoint.id, [relayTimeoutHeader]: String(connectTimeout) },
+                headers: {
+                    [relayEndpointHeader]: endpoint.id,
+                    [relayTimeoutHeader]: String(connectTimeout),
+                    [relayFramingHeader]: relayFraming,
+                },
                 agent: false,
             })
         );
@@ -78,7 +95,12 @@
             }
             if (response.statusCode === RelayStatus.Connected) {
                 stopTimer();
-                resolve({ type: "Connected", socket });
+                const declaresEnd = response.headers[relayFramingHeader] === relayFraming;
+                resolve({
+                    type: "Connected",
+                    socket: declaresEnd ? new FramedConnection(socket) : socket,
+                    declaresEnd,
+                });
                 return;
             }
             socket.destroy();
--- a/src/adapters/forwarding/relayServer.ts
+++ b/src/adapters/forwarding/relayServer.ts
@@ -10,7 +10,14 @@
 import { createUnlessInvalid } from "../../utils/invalidArguments.js";
 import { parseNonNegativeNumber } from "../../utils/numbers.js";
 import { SocketEnd, watchEnd } from "../../utils/socketEnd.js";
-import { relayEndpointHeader, RelayStatus, relayTimeoutHeader } from "./relayConnection.js";
+import {
+    relayEndpointHeader,
+    relayFraming,
+    relayFramingHeader,
+    RelayStatus,
+    relayTimeoutHeader,
+} from "./relayConnection.js";
+import { sendFrames } from "./relayFrames.js";
 
 /** Upper bound of the connect timeout that another entry asks for. */
 const maximumConnectTimeout: Milliseconds = 1_000;
@@ -118,13 +125,23 @@
         }
     }
 
-    /** Copies bytes until both sides have closed. A reset on one side is passed on: it shows that a response was cut. */
+    /**
+     * Copies bytes until both sides have closed. A reset on one side is passed on: it shows that a response was cut. An entry of
+     * an earlier version asks for no frames.
+     */
     private carry(endpointSocket: Socket): void {
         const { entrySocket } = this;
         this.dependencies.onCarried();
-        entrySocket.write(`HTTP/1.1 ${RelayStatus.Connected} Connected\r\n\r\n`);
+        const usesFrames = this.request.headers[relayFramingHeader] === relayFraming;
+        const framing = usesFrames ? `${relayFramingHeader}: ${relayFraming}\r\n` : "";
+        entrySocket.write(`HTTP/1.1 ${RelayStatus.Connected} Connected\r\n${framing}\r\n`);
         entrySocket.pipe(endpointSocket);
-        endpointSocket.pipe(entrySocket);
+        if (usesFrames) {
+            sendFrames(endpointSocket, entrySocket);
+        }
+        else {
+            endpointSocket.pipe(entrySocket);
+        }
         resetWith(endpointSocket, entrySocket);
         resetWith(entrySocket, endpointSocket);
         entrySocket.setTimeout(
--- a/src/adapters/forwarding/responseBody.ts
+++ b/src/adapters/forwarding/responseBody.ts
@@ -44,5 +44,6 @@
     }
 };
 
-const hasBody = ({ statusCode = 0 }: IncomingMessage, method: string): boolean =>
+/** Whether the response to a request with `method` has a body. */
+export const hasBody = ({ statusCode = 0 }: IncomingMessage, method: string): boolean =>
     method !== "HEAD" && !statusesWithoutBody.has(statusCode);
--- a/src/utils/httpClient.ts
+++ b/src/utils/httpClient.ts
@@ -1,6 +1,6 @@
 /** HTTP client over Node's `http`. Each failure states whether the server may have received the request. */
 import http from "node:http";
-import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { gunzipSync } from "node:zlib";
 import { splitAddress } from "./address.js";
 import { announcedBytes, type BodyLimits, collectBody } from "./bodies.js";
@@ -22,7 +22,7 @@
     /** Pools the connections. Requests without an agent share one. */
     agent?: http.Agent;
     /** Sends the request on this established connection instead. */
-    socket?: Socket;
+    socket?: Duplex;
 }
 
 /** Head of a response, and its unread body. */
