Timers of more than 24.8 days no longer run at once

Callers of a route whose timeout and deadline exceed 2^31 - 1 ms got 504 at once: Node runs such a timer after 1 ms.

The clock uses the longest delay of a timer in place of a longer one.

--- a/src/utils/clock.ts
+++ b/src/utils/clock.ts
@@ -15,6 +15,12 @@
     after(duration: Milliseconds, action: () => void): () => void;
 }
 
+/** Longest delay of Node's timers. A longer one would run at once. */
+const maximumTimerDelay: Milliseconds = 2 ** 31 - 1;
+
+const startTimer = (duration: Milliseconds, action: () => void): NodeJS.Timeout =>
+    setTimeout(action, Math.min(duration, maximumTimerDelay));
+
 /** Clock of this process. Under vitest's fake timers it returns the fake time. */
 export const systemClock: Clock = {
     now: () => performance.now(),
@@ -30,11 +36,11 @@
                 signal?.removeEventListener("abort", finish);
                 resolve();
             };
-            const timer = setTimeout(finish, duration);
+            const timer = startTimer(duration, finish);
             signal?.addEventListener("abort", finish, { once: true });
         }),
     after: (duration, action) => {
-        const timer = setTimeout(action, duration);
+        const timer = startTimer(duration, action);
         return () => clearTimeout(timer);
     },
 };
