SIGHUP and changed settings while an entry starts are no longer lost

An entry ended when SIGHUP came while it started, and settings that changed between their first reading and the end of the start stayed unused until the next change: the handler was set after the start, and the file was read once more for comparison instead of comparing it with the text in force.

A signal before the program's own code runs still ends the process.

--- a/__tests__/forwarding/program.test.ts
+++ b/__tests__/forwarding/program.test.ts
@@ -82,6 +82,33 @@
     expect(await entry.exited).toBe(0);
 });
 
+test("SIGHUP while the process starts doesn't end it, and its change is adopted", async () => {
+    // Guards against an entry that ends, or keeps old settings, when its settings change during its start.
+    const changed = await settingsText({ "bounds.budget_extra": "7" });
+    const text = await settingsText();
+    const signalling = path.join(folder, "signalling.cjs");
+    const change = `require("node:fs").writeFileSync(${JSON.stringify(settingsFile)}, ${JSON.stringify(changed)})`;
+    // Both come once the program has read its settings and begins to listen.
+    writeFileSync(
+        signalling,
+        `const net = require("node:net");
+        const listen = net.Server.prototype.listen;
+        net.Server.prototype.listen = function(...options) {
+            ${change};
+            process.kill(process.pid, "SIGHUP");
+            return listen.apply(this, options);
+        };`,
+    );
+    writeFileSync(settingsFile, text);
+    const entry = running = new EntryProcess(program, settingsFile, ["--require", signalling]);
+    const addresses = await entry.started();
+    await untilReadinessIs(addresses, 200);
+    for (let attempt = 0; attempt < 50 && !entry.output.includes("The settings were read again."); attempt++) {
+        await systemClock.sleep(20);
+    }
+    expect(entry.output).toContain("\"extra\":7");
+});
+
 test("failure of work that nobody awaits doesn't end the process", async () => {
     // Guards against one failed background task that cuts all requests in progress.
     const failing = path.join(folder, "failing.cjs");
--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -74,14 +74,16 @@
     return outcome.data;
 };
 
-/** Reads a settings file, parses and validates it. Throws {@link SettingsError}. */
-export const readSettings = <Schema extends z.ZodType>(file: string, schema: Schema): z.infer<Schema> => {
-    let text: string;
+/** Reads the text of a settings file. Throws {@link SettingsError}. */
+export const readSettingsText = (file: string): string => {
     try {
-        text = readFileSync(file, "utf8");
+        return readFileSync(file, "utf8");
     }
     catch (error) {
         throw new SettingsError(`${file}: can't be read: ${describeError(error)}`, { cause: error });
     }
-    return parseSettings(file, text, schema);
 };
+
+/** Reads a settings file, parses and validates it. Throws {@link SettingsError}. */
+export const readSettings = <Schema extends z.ZodType>(file: string, schema: Schema): z.infer<Schema> =>
+    parseSettings(file, readSettingsText(file), schema);
