A stopping entry closes idle connections alone, and all of them

A connection on which no request ever came, on the other hand, isn't idle for Node, and delayed the stop for the whole grace period.

An entry now counts the open responses of each connection and closes it when there is none, nothing has arrived since and nothing waits to be sent.

Evidence: "caller who reads slowly gets the whole answer of a stopping entry" (aborted) and "connections without a request don't delay the stop" (over 20 s) fail without the change and pass with it.

--- a/__tests__/forwarding/stop.test.ts
+++ b/__tests__/forwarding/stop.test.ts
@@ -1,8 +1,11 @@
 /** A planned stop cuts no request, and the entry announces it in time. */
+import { once } from "node:events";
 import http from "node:http";
+import net from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { splitAddress } from "../../src/utils/address.js";
 import { systemClock } from "../../src/utils/clock.js";
-import { call, eventIds, generation, Site, until } from "./support/site.js";
+import { call, callerKey, eventIds, generation, Site, until } from "./support/site.js";
 
 let site: Site;
 
@@ -36,6 +39,49 @@
     await expect(call(callers, "/lookups/a")).rejects.toThrow();
 });
 
+test("caller who reads slowly gets the whole answer of a stopping entry", async () => {
+    // Guards against an answer that is cut because the entry has written all of it, while its caller still reads.
+    const size = 8 * 1024 * 1024;
+    const readingPause = 3_500;
+    const replica = site.replicas.get("i-1")!;
+    replica.fault = ({ id }, response) => {
+        response.writeHead(200, { ...replica.responseHeaders(id), "content-length": size }).end(Buffer.alloc(size));
+        return true;
+    };
+    const { entry, callers } = await site.start("entry-1", true, { graceSeconds: 10 });
+    const { host, port } = splitAddress(callers);
+    const headers = { host: "desk.example", "dandelionramp-request-id": "slow", authorization: `Bearer ${callerKey}` };
+    const request = http.get({ host, port, path: "/lookups/a", headers });
+    const [response] = await once(request, "response") as [http.IncomingMessage];
+    response.pause();
+    const stopped = entry.stop();
+    await systemClock.sleep(readingPause);
+    let receivedBytes = 0;
+    response.on("data", (bytes: Buffer) => receivedBytes += bytes.length).resume();
+    await once(response, "end");
+    expect(receivedBytes).toBe(size);
+    await stopped;
+});
+
+test("connections without a request don't delay the stop", async () => {
+    // Guards against a stop that lasts for the whole grace period.
+    const { entry, callers } = await site.start("entry-1", true, { graceSeconds: 30 });
+    const { host, port } = splitAddress(callers);
+    const unused = net.connect(port, host);
+    await once(unused, "connect");
+    const agent = new http.Agent({ keepAlive: true });
+    const headers = { host: "desk.example", "dandelionramp-request-id": "kept", authorization: `Bearer ${callerKey}` };
+    const [response] = await once(http.get({ host, port, path: "/lookups/a", headers, agent }), "response") as [
+        http.IncomingMessage,
+    ];
+    await once(response.resume(), "end");
+    const startedAt = systemClock.now();
+    await entry.stop();
+    expect(systemClock.now() - startedAt).toBeLessThan(10_000);
+    agent.destroy();
+    unused.destroy();
+});
+
 test("stream in progress ends whole", async () => {
     site.configure(2, { replies: { timeout_ms: 30_000 } });
     const { entry, callers } = await site.start("entry-1", true, { graceSeconds: 30 });
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -16,6 +16,7 @@
 import type { PartLog } from "../../utils/log.js";
 import { abortQuietly } from "../../utils/signal.js";
 import { problemOf } from "../callers/problem.js";
+import { CallerConnection } from "./callerConnection.js";
 import { CallerWriter } from "./callerWriter.js";
 import type { ForwardingWire } from "./forwardingWire.js";
 
@@ -46,7 +47,7 @@
 /** Accepts the connections of callers. */
 export class CallerPort {
     private readonly server: http.Server;
-    private readonly sockets = new Set<Socket>();
+    private readonly connectionBySocket = new Map<Socket, CallerConnection>();
 
     constructor(private readonly dependencies: CallerPortDependencies) {
         this.server = http.createServer({
@@ -62,8 +63,8 @@
             (error, socket) => rejectUnparsedRequest(error, socket as Socket, dependencies.log),
         );
         this.server.on("connection", socket => {
-            this.sockets.add(socket);
-            socket.once("close", () => this.sockets.delete(socket));
+            this.connectionBySocket.set(socket, new CallerConnection(socket));
+            socket.once("close", () => this.connectionBySocket.delete(socket));
         });
     }
 
@@ -88,12 +89,17 @@
 
     /** Number of open connections. */
     get connectionCount(): number {
-        return this.sockets.size;
+        return this.connectionBySocket.size;
     }
 
-    /** Closes connections without a request in progress. */
+    /**
+     * Closes connections without a request in progress. Node's own function also closes those whose callers still read the
+     * response.
+     */
     closeIdleConnections(): void {
-        this.server.closeIdleConnections();
+        for (const connection of this.connectionBySocket.values()) {
+            connection.closeIfIdle();
+        }
     }
 
     /** Stops listening and closes all connections, including those with requests in progress. */
@@ -105,6 +111,7 @@
     }
 
     private handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
+        this.connectionBySocket.get(request.socket)?.recordRequest(response);
         const exchange = this.openExchange(request, response);
         if (exchange) {
             void this.dependencies.serve(exchange).then(() => exchange.releaseBody());
