Datagrams go to host names again, and past addresses that throw

An address is now tried, and the exception for an unusable port is logged as any failed send.

Evidence: "datagrams reach the entries behind an unusable address, and those named by a host name" fails without the change and passes with it.

--- a/__tests__/forwarding/unusableEndpoints.test.ts
+++ b/__tests__/forwarding/unusableEndpoints.test.ts
@@ -1,13 +1,17 @@
 /** Endpoints and entries whose names or addresses can't be used. Records of earlier versions of an entry may hold them. */
 import fc from "fast-check";
 import { expect, test } from "vitest";
+import { PeerSocket } from "../../src/adapters/forwarding/peerSocket.js";
 import { connectByRelay } from "../../src/adapters/forwarding/relayConnection.js";
 import { serveRelay } from "../../src/adapters/forwarding/relayServer.js";
 import { ConnectFailure, ConnectionCheck } from "../../src/ports/forwardingPorts.js";
+import { RelayScope } from "../../src/ports/peerChannelPort.js";
 import { systemClock } from "../../src/utils/clock.js";
 import { listen } from "../../src/utils/httpServer.js";
+import { silentLog } from "../../src/utils/log.js";
 import { endpointRecord } from "./support/endpointRecord.js";
 import { attemptOn, newClient, send, startEndpoint } from "./support/rawEndpoint.js";
+import { until } from "./support/site.js";
 
 const unusableAddresses = ["127.0.0.1:65536", "127.0.0.1:80800", `127.0.0.1:${"9".repeat(400)}`, "127.0.0.1:-1"];
 const timeout = 200;
@@ -50,6 +54,24 @@
     });
 }
 
+test("datagrams reach the entries behind an unusable address, and those named by a host name", async () => {
+    // Guards against entries that hear nothing because another one is listed with such an address.
+    const received: string[] = [];
+    const receiver = new PeerSocket(silentLog, ({ messages }) => received.push(...messages.map(({ from }) => from.id)));
+    const sender = new PeerSocket(silentLog, () => {});
+    const address = await receiver.listen("127.0.0.1:0");
+    await sender.listen("127.0.0.1:0");
+    const from = { id: "e-1", address: "127.0.0.1:1", incarnation: "1" };
+    const byName = address.replace("127.0.0.1", "localhost");
+    sender.send([...unusableAddresses, address, byName], {
+        messages: [{ from, news: [{ type: "Stopping" }] }],
+        passOn: RelayScope.None,
+    });
+    await until(() => received.length === 2);
+    sender.close();
+    receiver.close();
+});
+
 test("drawn names, paths and ports never reject", async () => {
     // Guards against further values that Node refuses by an exception.
     const odd = fc.string({ unit: "binary", maxLength: 12 });
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -7,8 +7,9 @@
 import { SendResult } from "../../core/placement/failureTracker.js";
 import { type PeerChannelPort, type PeerPacket, RelayScope } from "../../ports/peerChannelPort.js";
 import { StateKind } from "../../ports/statePort.js";
-import { isConnectable, splitAddress } from "../../utils/address.js";
+import { splitAddress } from "../../utils/address.js";
 import { describeError } from "../../utils/errors.js";
+import { createUnlessInvalid } from "../../utils/invalidArguments.js";
 import type { PartLog } from "../../utils/log.js";
 import { crashNewsSchema } from "./crashNewsSchema.js";
 import { memberStateSchema } from "./memberSchema.js";
@@ -212,18 +213,23 @@
             return Promise.resolve();
         }
         for (const address of this.addresses) {
-            if (!isConnectable(address)) {
-                this.logFailure(new Error(`${address} is not an address with a port`));
-                continue;
-            }
-            const { host, port } = splitAddress(address);
+            this.sendBytes(bytes, address);
+        }
+        return Promise.resolve();
+    }
+
+    private sendBytes(bytes: Buffer, address: string): void {
+        const { host, port } = splitAddress(address);
+        const result = createUnlessInvalid(() =>
             this.socket.send(bytes, port, host, error => {
                 if (error) {
                     this.logFailure(error);
                 }
-            });
+            })
+        );
+        if (result instanceof Error) {
+            this.logFailure(result);
         }
-        return Promise.resolve();
     }
 
     private async receive(bytes: Buffer): Promise<void> {
