The socket of a carried connection has a type of its own name

CarriedConnection named a class of the carrying side and a type of the asking side; the latter is RelayedSocket now.

--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -27,7 +27,7 @@
 import { EndpointAgent } from "./endpointAgent.js";
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
-import { type CarriedConnection, connectByRelay } from "./relayConnection.js";
+import { connectByRelay, type RelayedSocket } from "./relayConnection.js";
 import { hasBody, receiveBody } from "./responseBody.js";
 import { drainResponse } from "./responseDrain.js";
 
@@ -146,7 +146,7 @@
     /** Connects to the endpoint; undefined where `carried` is connected to it. */
     agent?: http.Agent;
     /** A connection that another entry carries. */
-    carried?: CarriedConnection;
+    carried?: RelayedSocket;
     /** Called when a new connection is established. */
     onConnected?: () => void;
 }
--- a/src/adapters/forwarding/relayConnection.ts
+++ b/src/adapters/forwarding/relayConnection.ts
@@ -38,7 +38,7 @@
 const relayAnswerMargin: Milliseconds = 150;
 
 /** A connection that another entry carries. */
-export interface CarriedConnection {
+export interface RelayedSocket {
     socket: Duplex;
     /** Whether the connection ends in the ordinary way only when the endpoint has ended it. */
     declaresEnd: boolean;
@@ -46,7 +46,7 @@
 
 /** A connection that another entry carries, or why there is none. */
 export type RelayedConnection =
-    | ({ type: "Connected"; } & CarriedConnection)
+    | ({ type: "Connected"; } & RelayedSocket)
     | { type: "Failed"; failure: ConnectFailure; reason: string; };
 
 /** Asks the entry at `relay` for a connection to `endpoint`. Never rejects. */
