--- /dev/null
+++ b/__tests__/forwarding/signals.test.ts
@@ -0,0 +1,75 @@
+/** Signals to the serving program while it serves: each accepted request gets its answer. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from "vitest";
+import { systemClock } from "../../src/utils/clock.js";
+import { buildProgram, EntryProcess, settingsText } from "./support/entryProgram.js";
+import { call, type CallerResponse, Site, until } from "./support/site.js";
+
+const folder = mkdtempSync(path.join(tmpdir(), "dandelionramp-signals-"));
+const program = path.join(folder, "main.cjs");
+const settingsFile = path.join(folder, "entry.ini");
+const workDuration = 1_000;
+const signalInterval = 150;
+
+let site: Site;
+let entry: EntryProcess | undefined;
+
+beforeAll(() => buildProgram(program));
+
+afterAll(() => rmSync(folder, { recursive: true }));
+
+beforeEach(async () => {
+    site = new Site();
+    const replica = await site.replica("i-1", "bookings");
+    replica.fault = ({ id }, response) => {
+        setTimeout(() => response.writeHead(200, replica.responseHeaders(id)).end("booked"), workDuration);
+        return true;
+    };
+    site.configure(1);
+    writeFileSync(settingsFile, await settingsText(site));
+});
+
+afterEach(async () => {
+    entry?.child.kill("SIGKILL");
+    await site.close();
+});
+
+/** Starts an entry and resolves once a booking runs. */
+const startBooking = async (): Promise<{ running: EntryProcess; booking: Promise<CallerResponse | undefined>; }> => {
+    const running = entry = new EntryProcess(program, settingsFile);
+    const { callers } = await running.started();
+    await until(() => running.output.includes("A configuration is in force."));
+    const booking = call(callers, "/places/a", { id: "booking" }).catch(() => undefined);
+    await until(() => site.replicas.get("i-1")!.arrivals.length === 1);
+    return { running, booking };
+};
+
+const sendInSeries = async ({ child }: EntryProcess, signals: readonly NodeJS.Signals[]): Promise<void> => {
+    for (const signal of signals) {
+        child.kill(signal);
+        await systemClock.sleep(signalInterval);
+    }
+};
+
+const series: readonly (readonly NodeJS.Signals[])[] = [
+    ["SIGTERM", "SIGTERM"],
+    ["SIGTERM", "SIGHUP", "SIGTERM", "SIGTERM"],
+    ["SIGTERM", "SIGINT"],
+    ["SIGINT"],
+    ["SIGINT", "SIGINT"],
+    ["SIGQUIT", "SIGTERM"],
+    ["SIGHUP", "SIGTERM", "SIGHUP", "SIGQUIT"],
+];
+
+test.each(series.map(signals => ({ name: signals.join(", "), signals })))(
+    "request in progress is answered after $name",
+    async ({ signals }) => {
+        // Guards against an accepted request that is lost because a signal to stop comes again, or isn't SIGTERM.
+        const { running, booking } = await startBooking();
+        await sendInSeries(running, signals);
+        expect(await booking).toMatchObject({ status: 200, body: "booked", whole: true });
+        expect(await running.exited).toBe(0);
+    },
+);
