--- a/__tests__/forwarding/signals.test.ts
+++ b/__tests__/forwarding/signals.test.ts
@@ -73,3 +73,14 @@
         expect(await running.exited).toBe(0);
     },
 );
+
+test("signals and the end of the process are logged", async () => {
+    // Guards against a process that ends, and whose log and metrics don't tell why.
+    const { running, booking } = await startBooking();
+    await sendInSeries(running, ["SIGHUP", "SIGHUP", "SIGTERM"]);
+    await booking;
+    await running.exited;
+    expect(running.output).toContain("\"signal\":\"SIGHUP\",\"count\":2");
+    expect(running.output).toContain("\"signal\":\"SIGTERM\"");
+    expect(running.output).toContain("process: The process ends after its planned stop.");
+});
--- a/src/utils/logStream.ts
+++ b/src/utils/logStream.ts
@@ -23,6 +23,9 @@
     readonly pendingBytes: number;
 }
 
+/** How often a process that ends checks whether its log has been written. */
+const flushPollInterval: Milliseconds = 10;
+
 /** A log record as bunyan passes it to a raw stream. */
 export interface LogRecord {
     level: number;
@@ -64,6 +67,14 @@
         this.sink.write(`${JSON.stringify(record)}\n`);
     }
 
+    /** Resolves when the log has been written, or after `limit`. A process that exits earlier loses its last lines. */
+    async flush(limit: Milliseconds): Promise<void> {
+        const startedAt = this.clock.now();
+        while (this.sink.pendingBytes > 0 && this.clock.now() - startedAt < limit) {
+            await this.clock.sleep(flushPollInterval);
+        }
+    }
+
     /** Number of lines dropped since the start. */
     get droppedTotal(): number {
         return this.totalDropCount;
