--- a/__tests__/forwarding/signals.test.ts
+++ b/__tests__/forwarding/signals.test.ts
@@ -63,6 +63,8 @@
     ["SIGHUP", "SIGTERM", "SIGHUP", "SIGQUIT"],
 ];
 
+const ignoredSignals: readonly NodeJS.Signals[] = ["SIGUSR2", "SIGALRM", "SIGVTALRM", "SIGIO", "SIGSTKFLT"];
+
 test.each(series.map(signals => ({ name: signals.join(", "), signals })))(
     "request in progress is answered after $name",
     async ({ signals }) => {
@@ -74,6 +76,25 @@
     },
 );
 
+test("signals without a meaning for the program don't end it", async () => {
+    // Guards against requests that are lost because log rotation or a timer sends a signal that ends a process by default.
+    const { running, booking } = await startBooking();
+    await sendInSeries(running, ignoredSignals);
+    expect(await booking).toMatchObject({ status: 200, whole: true });
+    expect(running.hasExited).toBe(false);
+});
+
+test("SIGTERM while the modules load ends the process as planned", async () => {
+    // Guards against a process that ends by a signal during its start instead of with exit code 0.
+    const loading = path.join(folder, "loading.cjs");
+    writeFileSync(
+        loading,
+        `process.once("newListener", () => setImmediate(() => process.kill(process.pid, "SIGTERM")));`,
+    );
+    const starting = entry = new EntryProcess(program, settingsFile, ["--require", loading]);
+    expect(await starting.exited).toBe(0);
+});
+
 test("signals and the end of the process are logged", async () => {
     // Guards against a process that ends, and whose log and metrics don't tell why.
     const { running, booking } = await startBooking();
--- a/__tests__/forwarding/support/entryProgram.ts
+++ b/__tests__/forwarding/support/entryProgram.ts
@@ -39,7 +39,7 @@
     /** Resolves with the exit code, `undefined` after a signal, once all output has arrived. */
     readonly exited: Promise<number | undefined>;
     output = "";
-    private hasExited = false;
+    hasExited = false;
 
     /** `nodeOptions`: options of Node before the program. */
     constructor(program: string, settingsFile: string, nodeOptions: readonly string[] = []) {
