--- a/__tests__/commands.test.ts
+++ b/__tests__/commands.test.ts
@@ -1,5 +1,6 @@
 /** Runs the programs from a shell: exit codes, one line for each error, help with examples. */
-import { spawnSync } from "node:child_process";
+import { spawn, spawnSync } from "node:child_process";
+import { once } from "node:events";
 import { readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -20,6 +21,28 @@
     expect(stderr).toContain("[instance] dataCentre: expected text");
 });
 
+test.each(["SIGTERM", "SIGINT"] as const)("%s again doesn't end a program that drains", async signal => {
+    // Guards against requests that are lost because the signal to stop comes twice.
+    const module = new URL("../dist/commands/program.js", import.meta.url).href;
+    const drain = `const { waitForStopSignal } = await import(${JSON.stringify(module)});
+        const stopped = waitForStopSignal();
+        const running = setInterval(() => {}, 1_000);
+        console.log("running");
+        await stopped;
+        console.log("draining");
+        setTimeout(() => { clearInterval(running); console.log("drained"); }, 500);`;
+    const child = spawn(process.execPath, ["--input-type=module", "-e", drain]);
+    let output = "";
+    for await (const bytes of child.stdout) {
+        output += (bytes as Buffer).toString("utf8");
+        if (!output.includes("drained")) {
+            child.kill(signal);
+        }
+    }
+    expect(output).toContain("drained");
+    expect(child.exitCode ?? (await once(child, "exit"))[0]).toBe(0);
+});
+
 test("missing settings file exits with 2", () => {
     const { status, stderr } = run("dandelionramp-standin", "engine", "--settings", "nowhere.ini");
     expect(status).toBe(2);
--- a/scripts/local.js
+++ b/scripts/local.js
@@ -7,5 +7,5 @@
     process.stdout.write(`${name} ${child.pid}\n`);
 }
 const stop = () => void fleet.stopAll();
-process.once("SIGINT", stop);
-process.once("SIGTERM", stop);
+process.on("SIGINT", stop);
+process.on("SIGTERM", stop);
--- a/src/commands/program.ts
+++ b/src/commands/program.ts
@@ -36,9 +36,9 @@
     }
 }
 
-/** Resolves at the first SIGTERM or SIGINT. */
+/** Resolves at the first SIGTERM or SIGINT. Further ones don't end the process either, so that its drain cuts no request. */
 export const waitForStopSignal = (): Promise<void> =>
     new Promise(resolve => {
-        process.once("SIGTERM", () => resolve());
-        process.once("SIGINT", () => resolve());
+        process.on("SIGTERM", () => resolve());
+        process.on("SIGINT", () => resolve());
     });
