An entry that stops no longer warns of a memory leak

Each background task listens to one signal, eleven at a stop, and Node then wrote MaxListenersExceededWarning to standard error at each planned stop.

--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -2,6 +2,7 @@
  * An entry that forwards the requests of callers by routes. Connects its components, runs its background tasks and performs the
  * planned stop.
  */
+import { setMaxListeners } from "node:events";
 import type { ActiveConfiguration } from "../../core/configuration/activeConfiguration.js";
 import { StateFollower } from "../../core/configuration/stateFollower.js";
 import { EntryCore } from "../../core/entryCore.js";
@@ -106,6 +107,8 @@
     private plannedStop: PlannedStop | undefined;
 
     constructor(private settings: ForwardingSettings, private readonly dependencies: ForwardingEntryDependencies) {
+        // Each background task waits for this signal; Node would warn of a memory leak at more than ten.
+        setMaxListeners(0, this.closeController.signal);
         const { clock, random, wire, log } = dependencies;
         this.log = log("entry");
         const { instance, listen } = settings;
