An exception in a callback no longer ends an entry under its requests

Callers saw: all connections of an entry are reset at once, without answers; bookings among them may have run.

Cause: an exception that leaves a listener, a timer or a callback of a stream ends the process by Node's default. It was only logged before. The class: a process ends by a default of its environment instead of by its own decision.

Evidence: with a timer that throws while a booking of half a second runs, the caller's connection was reset and the process had ended with exit code 1 (the new test, which failed before in that way).

After its start the process now logs the exception with its stack, counts it and goes on. Node warns that the state may be inconsistent then; here each callback belongs to one connection, one peer or one timer, a request's own state ends with its deadline, and work that all depend on runs as tasks whose failures are handled apart. Ending the process instead would surely lose every accepted request, and an odd input that reaches all entries would end them all, again after each restart. During the start nothing is served yet, and a callback that has failed may be the one that the start waits for: such an exception ends the process with exit code 1 and one line (a stack over several lines before; the second new test).

--- /dev/null
+++ b/__tests__/forwarding/processEnds.test.ts
@@ -0,0 +1,84 @@
+/** Ways in which the serving program could end by itself: each accepted request gets its answer all the same. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from "vitest";
+import { buildProgram, type EntryAddresses, EntryProcess, settingsText } from "./support/entryProgram.js";
+import { call, type CallerResponse, Site, until } from "./support/site.js";
+
+const folder = mkdtempSync(path.join(tmpdir(), "dandelionramp-ends-"));
+const program = path.join(folder, "main.cjs");
+const settingsFile = path.join(folder, "entry.ini");
+const workDuration = 500;
+
+let site: Site;
+let entry: EntryProcess | undefined;
+
+beforeAll(() => buildProgram(program));
+
+afterAll(() => rmSync(folder, { recursive: true }));
+
+beforeEach(async () => {
+    site = new Site();
+    const replica = await site.replica("i-1", "bookings");
+    replica.fault = ({ id }, response) => {
+        setTimeout(() => response.writeHead(200, replica.responseHeaders(id)).end("booked"), workDuration);
+        return true;
+    };
+    site.configure(1);
+    writeFileSync(settingsFile, await settingsText(site));
+});
+
+afterEach(async () => {
+    entry?.child.kill("SIGKILL");
+    await site.close();
+});
+
+/** Writes a module that is loaded before the program, and returns the options of Node that load it. */
+const preload = (name: string, code: string): string[] => {
+    const file = path.join(folder, `${name}.cjs`);
+    writeFileSync(file, code);
+    return ["--require", file];
+};
+
+const isConfigured = async (readiness: string): Promise<void> => {
+    let status = 0;
+    await until(() => {
+        void call(readiness, "/", { method: "GET" }).then(answer => status = answer.status, () => {});
+        return status === 200;
+    });
+};
+
+/** Starts a booking and resolves once it runs. */
+const book = async ({ callers }: EntryAddresses): Promise<{ answer: Promise<CallerResponse | undefined>; }> => {
+    const { arrivals } = site.replicas.get("i-1")!;
+    const arrivalsBefore = arrivals.length;
+    const answer = call(callers, "/places/a").catch(() => undefined);
+    await until(() => arrivals.length > arrivalsBefore);
+    return { answer };
+};
+
+const metricsOf = async ({ metrics }: EntryAddresses): Promise<string> =>
+    (await call(metrics, "/metrics", { method: "GET" })).body;
+
+test("request in progress is answered although a timer throws", async () => {
+    // Guards against accepted requests that are lost because one callback throws and the exception ends the process.
+    const code = `process.on("SIGUSR2", () => setTimeout(() => { throw new Error("thrown by a timer"); }));`;
+    const running = entry = new EntryProcess(program, settingsFile, preload("throwing", code));
+    const addresses = await running.started();
+    await isConfigured(addresses.readiness);
+    const { answer } = await book(addresses);
+    running.child.kill("SIGUSR2");
+    expect(await answer).toMatchObject({ status: 200, body: "booked", whole: true });
+    expect(running.output).toMatch(/"error":"thrown by a timer","stack":".*throwing\.cjs/);
+    expect(await metricsOf(addresses)).toContain("dandelionramp_uncaught_exceptions_total 1");
+});
+
+test("exception during the start ends the process with exit code 1", async () => {
+    // Guards against a process that neither serves nor ends because its start has failed in a callback.
+    const code = `const net = require("node:net");
+        net.Server.prototype.listen = () => void setImmediate(() => { throw new Error("thrown at the start"); });`;
+    const starting = entry = new EntryProcess(program, settingsFile, preload("failing", code));
+    expect(await starting.exited).toBe(1);
+    expect(starting.output).toContain("\nentry: thrown at the start\n");
+});
--- a/src/utils/unhandledFailures.ts
+++ b/src/utils/unhandledFailures.ts
@@ -1,4 +1,7 @@
-/** Records failures that no code handles, and keeps a process alive when work that nobody awaits fails. */
+/**
+ * Records failures that no code handles, and keeps a process that serves alive: one failed callback or background task is no
+ * reason to end all requests in progress with it.
+ */
 import { describeError } from "./errors.js";
 import type { PartLog } from "./log.js";
 
@@ -6,23 +9,32 @@
 export class UnhandledFailures {
     private rejectionCount = 0;
     private exceptionCount = 0;
+    private hasStarted = false;
 
-    constructor(private readonly log: PartLog) {}
+    /** `endStart` ends the process when its start fails. */
+    constructor(private readonly log: PartLog, private readonly endStart: (error: unknown) => void) {}
 
     /** Listens to the failures of this process. */
     listen(): void {
-        // By default Node ends the process at the first one, and all requests in progress with it, though only one background
-        // task has failed.
         process.on("unhandledRejection", reason => {
             this.rejectionCount++;
             this.log.error("Work that nobody awaits has failed.", describeFailure(reason));
         });
-        process.on("uncaughtExceptionMonitor", error => {
+        process.on("uncaughtException", error => {
             this.exceptionCount++;
             this.log.error("An exception wasn't handled.", describeFailure(error));
+            // A start that a callback has failed to continue would otherwise never end.
+            if (!this.hasStarted) {
+                this.endStart(error);
+            }
         });
     }
 
+    /** Records that the process serves: exceptions no longer end it. */
+    recordStarted(): void {
+        this.hasStarted = true;
+    }
+
     /** Numbers of failures by kind. */
     gauges(): Record<string, number> {
         return {
