A log that can't be written no longer ends an entry, and goes on once it can

Callers saw: all connections of an entry are reset at once when the disk of its log is full, its file has reached the size limit, its terminal has gone, or its descriptor can't be written.

Cause: output to a file or a terminal went through Node's stream of standard output, which emits an error that nobody listened to. That ended the process, and since exceptions no longer do, each line caused the next exception and none was written any more. On a pipe the log stayed silent for good once its reader had gone, uncounted, also where a named pipe got the next reader.

Evidence: with standard output on /dev/full the process ended before its callers' port answered (exit code 1, ENOSPC), with a file under `ulimit -f 1` at the first request, with a descriptor opened for reading at the start (EBADF).

Lines that can't be written count in `log_lines_dropped_total` and are reported by the line that follows them.

--- a/__tests__/forwarding/logs.test.ts
+++ b/__tests__/forwarding/logs.test.ts
@@ -12,12 +12,13 @@
         after: () => () => {},
     };
     const sink = {
-        write: (text: string) => void state.lines.push(text),
+        isFull: false,
+        write: (text: string, onLost: () => void) => sink.isFull ? onLost() : void state.lines.push(text),
         get pendingBytes() {
             return state.pendingBytes;
         },
     };
-    return { state, stream: new BoundedLogStream(sink, clock, "entry-1") };
+    return { state, sink, stream: new BoundedLogStream(sink, clock, "entry-1") };
 };
 
 test("warnings have priority over info lines", () => {
@@ -46,6 +47,19 @@
     expect(state.lines).toHaveLength(2);
 });
 
+test("lines that can't be written are counted, and reported once they can", () => {
+    // Guards against a log that hides that lines are missing after the disk was full.
+    const { state, sink, stream } = fixture();
+    sink.isFull = true;
+    stream.write({ level: 30, msg: "request: Sent." });
+    stream.write({ level: 30, msg: "request: Sent." });
+    expect(stream.droppedTotal).toBe(2);
+    sink.isFull = false;
+    stream.write({ level: 30, msg: "request: Answered." });
+    expect(JSON.parse(state.lines[0]!)).toMatchObject({ msg: "log: Lines were dropped.", lines: 2 });
+    expect(JSON.parse(state.lines[1]!)).toMatchObject({ msg: "request: Answered." });
+});
+
 test("metrics are served", async () => {
     const site = new Site();
     await site.replica("m-1", "models");
--- a/__tests__/forwarding/processEnds.test.ts
+++ b/__tests__/forwarding/processEnds.test.ts
@@ -1,5 +1,7 @@
 /** Ways in which the serving program could end by itself: each accepted request gets its answer all the same. */
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { execFileSync } from "node:child_process";
+import { closeSync, constants, mkdtempSync, openSync, readSync, rmSync, writeFileSync } from "node:fs";
+import net, { type AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from "vitest";
@@ -41,6 +43,38 @@
     return ["--require", file];
 };
 
+/** Writes settings with a port for callers and one for metrics that are free now. Returns the addresses. */
+const fixAddresses = async (): Promise<EntryAddresses> => {
+    const servers = [net.createServer(), net.createServer(), net.createServer(), net.createServer()];
+    const addresses: string[] = [];
+    for (const server of servers) {
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        addresses.push(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    }
+    for (const server of servers) {
+        await new Promise(resolve => server.close(resolve));
+    }
+    const [callers, readiness, peers, metrics] = addresses as [string, string, string, string];
+    const changes = {
+        "listen.front": callers,
+        "listen.ready": readiness,
+        "listen.control": peers,
+        "port_range.1": metrics.slice(metrics.indexOf(":") + 1),
+    };
+    writeFileSync(settingsFile, await settingsText(site, changes));
+    return { callers, readiness, peers, metrics };
+};
+
+/** Reads what a pipe holds; returns the number of bytes. */
+const readAvailable = (descriptor: number, buffer: Buffer): number => {
+    try {
+        return readSync(descriptor, buffer);
+    }
+    catch {
+        return 0;
+    }
+};
+
 const isConfigured = async (readiness: string): Promise<void> => {
     let status = 0;
     await until(() => {
@@ -82,3 +116,48 @@
     expect(await starting.exited).toBe(1);
     expect(starting.output).toContain("\nentry: thrown at the start\n");
 });
+
+test("request is answered although the log is on a full disk", async () => {
+    // Guards against accepted requests that are lost because standard output can't be written and its error ends the process.
+    const addresses = await fixAddresses();
+    const output = openSync("/dev/full", "w");
+    const running = entry = new EntryProcess(program, settingsFile, [], output);
+    closeSync(output);
+    await isConfigured(addresses.readiness);
+    const { answer } = await book(addresses);
+    expect(await answer).toMatchObject({ status: 200, body: "booked", whole: true });
+    const metrics = await metricsOf(addresses);
+    expect(metrics).toMatch(/dandelionramp_log_lines_dropped_total [1-9]/);
+    expect(metrics).toContain("dandelionramp_uncaught_exceptions_total 0");
+    expect(running.hasExited).toBe(false);
+});
+
+test("log goes on with the next reader of a named pipe", async () => {
+    // Guards against a log that stays silent until the process ends because its reader was restarted once.
+    const file = path.join(folder, "log");
+    execFileSync("mkfifo", [file]);
+    const openReader = () => openSync(file, constants.O_RDONLY | constants.O_NONBLOCK);
+    const firstReader = openReader();
+    const addresses = await fixAddresses();
+    const output = openSync(file, "w");
+    entry = new EntryProcess(program, settingsFile, [], output);
+    closeSync(output);
+    await isConfigured(addresses.readiness);
+    closeSync(firstReader);
+    let droppedText = "";
+    await until(() => {
+        entry!.child.kill("SIGUSR2");
+        void metricsOf(addresses).then(
+            text => droppedText = /log_lines_dropped_total \d+/.exec(text)?.[0] ?? "",
+            () => {},
+        );
+        return / [1-9]/.test(droppedText);
+    });
+    const secondReader = openReader();
+    const buffer = Buffer.alloc(64 * 1024);
+    await until(() => {
+        entry!.child.kill("SIGUSR2");
+        return buffer.toString("latin1", 0, readAvailable(secondReader, buffer)).includes("log: Lines were dropped.");
+    });
+    closeSync(secondReader);
+});
--- a/__tests__/forwarding/support/entryProgram.ts
+++ b/__tests__/forwarding/support/entryProgram.ts
@@ -41,15 +41,21 @@
     output = "";
     hasExited = false;
 
-    /** `nodeOptions`: options of Node before the program. */
-    constructor(program: string, settingsFile: string, nodeOptions: readonly string[] = []) {
+    /** `nodeOptions`: options of Node before the program. `standardOutput`: a descriptor to write to instead of `output`. */
+    constructor(
+        program: string,
+        settingsFile: string,
+        nodeOptions: readonly string[] = [],
+        standardOutput: "pipe" | number = "pipe",
+    ) {
         this.child = spawn(process.execPath, [...nodeOptions, program], {
             env: { ...process.env, DANDELIONRAMP_SETTINGS: settingsFile },
+            stdio: ["pipe", standardOutput, "pipe"],
         });
         const appendOutput = (chunk: Buffer) => {
             this.output += chunk.toString("utf8");
         };
-        this.child.stdout!.on("data", appendOutput);
+        this.child.stdout?.on("data", appendOutput);
         this.child.stderr!.on("data", appendOutput);
         this.exited = new Promise(resolve =>
             this.child.once("close", code => {
