A request in progress is answered before bytes behind it that can't be parsed

Callers saw: 400 or 408 with "not run" and a closed connection instead of the answer to a booking that was accepted and that ran to its end.

Cause: what Node can't parse was answered at once on the raw connection, also while an earlier request of the same connection was in progress. The caller takes the first answer for that of its first request; the real one was dropped with the connection. Bytes beyond the announced length, a broken next request or one whose head stops for longer than the header timeout are enough.

Evidence: five tests that send such bytes behind a booking of two seconds got [400] or [408] alone and failed before; now each booking is answered 200, a second whole request too, and the 400 or 408 follows. 408 promises that a request hasn't run, so this also broke what it promises.

The rejection now waits for the responses of the connection that have begun or whose requests were received whole; a caller that closes meanwhile still counts as gone (the sixth test, which passed before as well). callerPort.ts only hands over: the code that formats the rejection moved to unparsedRequests.ts unchanged.

--- /dev/null
+++ b/__tests__/forwarding/oddRequests.test.ts
@@ -0,0 +1,70 @@
+/** Odd requests, and what callers send beside requests: each request that was accepted gets its own answer. */
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { callerKey, sendRaw, Site, type SiteEntry } from "./support/site.js";
+
+const closeAfter = 4_000;
+/** Longer than the header timeout of the site, and than Node takes to notice it. */
+const workDuration = 2_000;
+
+let site: Site;
+let entry: SiteEntry;
+
+beforeEach(async () => {
+    site = new Site();
+    const replica = await site.replica("i-1", "bookings");
+    replica.fault = ({ id }, response) => {
+        setTimeout(() => response.writeHead(200, replica.responseHeaders(id)).end(`booked ${id}.`), workDuration);
+        return true;
+    };
+    site.configure(1, { places: { timeout_ms: 10_000 } });
+    entry = await site.start("entry-1");
+});
+
+afterEach(() => site.close());
+
+const head = (id: string, lines: readonly string[]): string =>
+    [
+        "POST /places/a HTTP/1.1",
+        "Host: desk.example",
+        `Dandelionramp-Request-Id: ${id}`,
+        `Authorization: Bearer ${callerKey}`,
+        ...lines,
+        "",
+        "",
+    ].join("\r\n");
+
+const booking = head("first", ["Content-Length: 3"]) + "abc";
+
+/** Status of each answer, and the booking that it confirms. */
+const answersIn = (text: string): string[] =>
+    text.split("HTTP/1.1 ").slice(1).map(answer =>
+        [answer.slice(0, 3), /booked (\w+)\./.exec(answer)?.[1]].filter(part => part !== undefined).join(" ")
+    );
+
+const followers: Record<string, { bytes: string; answers: string[]; }> = {
+    "more bytes than announced": { bytes: "def", answers: ["200 first", "400"] },
+    "a broken head": { bytes: "POST\r\n\r\n", answers: ["200 first", "400"] },
+    "a head that stops": { bytes: "POST /places/a HTTP/1.1\r\nHost: desk", answers: ["200 first", "408"] },
+    "a broken body": {
+        bytes: `${head("second", ["Transfer-Encoding: chunked"])}zz\r\n`,
+        answers: ["200 first", "400"],
+    },
+    "a request and then bytes": {
+        bytes: `${head("second", ["Content-Length: 0"])}GET\r\n\r\n`,
+        answers: ["200 first", "200 second", "400"],
+    },
+};
+
+test.each(Object.entries(followers))("request in progress is answered before %s", async (...[, { bytes, answers }]) => {
+    // Guards against an accepted booking whose caller gets the answer to the bytes behind it: 400 or 408, "not run".
+    const text = await sendRaw(entry.callers, booking + bytes, 2 * closeAfter);
+    expect(answersIn(text)).toEqual(answers);
+});
+
+test("caller that leaves after bytes that can't be parsed is noticed", async () => {
+    // Guards against endpoints that work for a caller that has left.
+    await sendRaw(entry.callers, `${booking}GET\r\n\r\n`, 200);
+    const replica = site.replicas.get("i-1")!;
+    await expect.poll(() => replica.arrivals.length).toBe(1);
+    await expect.poll(() => site.lines.some(({ message }) => message.includes("The caller has left."))).toBe(true);
+});
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -1,7 +1,6 @@
 /** HTTP server for forwarded requests. Reads the requests of callers and writes their responses through Node's `http`. */
 import http from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { match } from "ts-pattern";
 import type { RouteTable } from "../../core/configuration/routeTable.js";
 import { Execution, FailureKind, RequestFailure } from "../../core/failures.js";
 import { HeldKind } from "../../core/memoryBounds/heldBytes.js";
@@ -19,6 +18,7 @@
 import { CallerConnection } from "./callerConnection.js";
 import { CallerWriter } from "./callerWriter.js";
 import type { ForwardingWire } from "./forwardingWire.js";
+import { UnparsedRequests } from "./unparsedRequests.js";
 
 /** Node rejects larger headers while reading them; the configured limit is lower. */
 const maximumHeaderBytes = 128 * 1024;
@@ -48,8 +48,10 @@
 export class CallerPort {
     private readonly server: http.Server;
     private readonly connectionBySocket = new Map<Socket, CallerConnection>();
+    private readonly unparsedRequests: UnparsedRequests;
 
     constructor(private readonly dependencies: CallerPortDependencies) {
+        this.unparsedRequests = new UnparsedRequests(dependencies.log);
         this.server = http.createServer({
             maxHeaderSize: maximumHeaderBytes,
             connectionsCheckingInterval: headerTimeoutCheckInterval,
@@ -58,10 +60,7 @@
             requestTimeout: 0,
             keepAliveTimeout: defaultIdleTimeout,
         }, (request, response) => this.handleRequest(request, response));
-        this.server.on(
-            "clientError",
-            (error, socket) => rejectUnparsedRequest(error, socket as Socket, dependencies.log),
-        );
+        this.server.on("clientError", (error, socket) => this.unparsedRequests.reject(error, socket as Socket));
         this.server.on("connection", socket => {
             this.connectionBySocket.set(socket, new CallerConnection(socket));
             socket.once("close", () => this.connectionBySocket.delete(socket));
@@ -112,6 +111,7 @@
 
     private handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
         this.connectionBySocket.get(request.socket)?.recordRequest(response);
+        this.unparsedRequests.recordRequest(request.socket, response);
         const exchange = this.openExchange(request, response);
         if (exchange) {
             void this.dependencies.serve(exchange).then(() => exchange.releaseBody());
@@ -344,25 +344,3 @@
     const kind = error instanceof BodyTooSlowError ? FailureKind.RequestTooSlow : FailureKind.BadRequest;
     return new RequestFailure(kind, Execution.NotRun, describeError(error));
 };
-
-/** Responds to bytes that Node could not parse as a request. Nothing of them was forwarded. */
-const rejectUnparsedRequest = (error: Error & { code?: string; }, socket: Socket, log: PartLog): void => {
-    if (error.code === "ECONNRESET" || !socket.writable) {
-        socket.destroy();
-        return;
-    }
-    const kind = failureKindOfParseError(error.code);
-    log.warn("A request can't be parsed.", { code: error.code, reason: error.message });
-    const problem = problemOf(new RequestFailure(kind, Execution.NotRun, error.message), "");
-    const text = JSON.stringify(problem);
-    socket.end(
-        `HTTP/1.1 ${problem.status} ${problem.title}\r\nContent-Type: application/problem+json\r\n`
-            + `Content-Length: ${Buffer.byteLength(text)}\r\nConnection: close\r\n\r\n${text}`,
-    );
-};
-
-const failureKindOfParseError = (code: string | undefined): FailureKind =>
-    match(code)
-        .with("HPE_HEADER_OVERFLOW", () => FailureKind.HeadersTooLarge)
-        .with("ERR_HTTP_REQUEST_TIMEOUT", () => FailureKind.RequestTooSlow)
-        .otherwise(() => FailureKind.BadRequest);
