CONNECT requests are answered on all ports of an entry

Callers saw: a `CONNECT` request, also one behind a request in progress, closed the connection without any answer.

Cause: Node hands the connection of such a request to a listener of "connect", and destroys it where there is none: on the callers' port, the readiness port and the metrics port. The port for other entries has one.

Evidence: the new test got no byte on each of these ports, and no answer to the booking in front of the request; it gets 400 on the callers' port, after the booking's 200, and 405 on the two others now.

--- a/__tests__/forwarding/oddRequests.test.ts
+++ b/__tests__/forwarding/oddRequests.test.ts
@@ -68,3 +68,13 @@
     await expect.poll(() => replica.arrivals.length).toBe(1);
     await expect.poll(() => site.lines.some(({ message }) => message.includes("The caller has left."))).toBe(true);
 });
+
+const tunnel = "CONNECT a.example:80 HTTP/1.1\r\nHost: a.example:80\r\n\r\n";
+
+test("CONNECT requests are answered", async () => {
+    // Guards against a request whose connection is closed without an answer.
+    expect(answersIn(await sendRaw(entry.callers, tunnel))).toEqual(["400"]);
+    expect(answersIn(await sendRaw(entry.callers, booking + tunnel, closeAfter))).toEqual(["200 first", "400"]);
+    expect(answersIn(await sendRaw(entry.readiness, tunnel))).toEqual(["405"]);
+    expect(answersIn(await sendRaw(entry.metrics, tunnel))).toEqual(["405"]);
+});
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -61,6 +61,7 @@
             keepAliveTimeout: defaultIdleTimeout,
         }, (request, response) => this.handleRequest(request, response));
         this.server.on("clientError", (error, socket) => this.unparsedRequests.reject(error, socket as Socket));
+        this.server.on("connect", (...[, stream]) => this.unparsedRequests.rejectTunnel(stream as Socket));
         this.server.on("connection", socket => {
             this.connectionBySocket.set(socket, new CallerConnection(socket));
             socket.once("close", () => this.connectionBySocket.delete(socket));
--- a/src/adapters/forwarding/unparsedRequests.ts
+++ b/src/adapters/forwarding/unparsedRequests.ts
@@ -43,6 +43,14 @@
         }
     }
 
+    /** Answers a `CONNECT` request. Node hands its connection over, and would close it if nobody took it. */
+    rejectTunnel(socket: Socket): void {
+        socket.on("error", () => {});
+        // The end of an unread connection isn't noticed.
+        socket.resume();
+        this.reject(new Error("this entry opens no tunnels for callers"), socket);
+    }
+
     private answerInTurn(error: ParseError, socket: Socket): void {
         const earlier = this.responseBefore(socket);
         if (earlier) {
--- a/src/utils/httpServer.ts
+++ b/src/utils/httpServer.ts
@@ -49,6 +49,16 @@
         });
     });
 
+/** Answers the `CONNECT` requests that `server` receives. Node closes their connections without an answer. */
+export const refuseTunnels = (server: http.Server): void => {
+    server.on("connect", (...[, stream]) => {
+        stream.on("error", () => {});
+        // The end of an unread connection isn't noticed.
+        stream.resume();
+        stream.end("HTTP/1.1 405 Method Not Allowed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    });
+};
+
 const closeServer = (server: http.Server): Promise<void> =>
     new Promise(resolve => {
         server.close(() => resolve());
