An endpoint that switches protocols no longer ends entries

What callers saw: a replica answered a request with "101 Switching Protocols" and an Upgrade header, for which nobody had asked, and reset its connection. The entry ended at once (uncaught exception, read ECONNRESET), and all its requests in progress ended without an answer. Where the replica didn't reset, the connection stayed open for good.

Cause: the bound for heads listens to "upgrade" to stop counting. Node hands the connection over to such a listener, takes its own listeners off and doesn't close it. Nobody listened to the connection's errors then. All HTTP clients of the entry share the bound: endpoints, orders, the store and other entries. The JSON client didn't settle at all; its caller waited until its timeout.

Why the fix works: without a listener Node closes the connection itself, with its own listeners in place. It reports no error then, only "close", so the JSON client fails on that.

--- a/src/utils/httpClient.ts
+++ b/src/utils/httpClient.ts
@@ -77,10 +77,13 @@
         outgoing.on("response", body => {
             resolve({ status: body.statusCode ?? 0, headers: body.headers, body });
         });
-        outgoing.on("error", error => {
-            const message = `${request.method} ${request.address}${request.path}: ${describeError(error)}`;
-            reject(new ExchangeError(message, written, { cause: error }));
-        });
+        const fail = (reason: string, cause?: Error) =>
+            reject(
+                new ExchangeError(`${request.method} ${request.address}${request.path}: ${reason}`, written, { cause }),
+            );
+        outgoing.on("error", error => fail(describeError(error), error));
+        // Node reports no error for a server that switches protocols.
+        outgoing.once("close", () => fail("the connection closed before a response"));
         outgoing.end(request.body);
     });
 
--- a/src/utils/responseHeadLimit.ts
+++ b/src/utils/responseHeadLimit.ts
@@ -32,7 +32,8 @@
             socket.off("data", countBytes);
         };
         socket.on("data", countBytes);
-        for (const end of ["response", "connect", "upgrade", "close"]) {
+        // Nobody here asks to switch protocols. Node closes the connection of a server that does, unless "upgrade" has a listener.
+        for (const end of ["response", "connect", "close"]) {
             request.once(end, stopCounting);
         }
     });
