A body with an unknown transfer coding isn't passed on as whole

What callers saw: a 200 whose body was not the replica's, framed as whole. A replica that names a transfer coding other than "chunked" sends a body that ends with its connection, with the coding in it: callers got the chunks' sizes as part of the body, without the end that was missing. With "Transfer-Encoding: identity" half a body that was reset together with its last bytes came as whole.

Cause: Node undoes chunks only. Any other coding is a part of the body to it, and the header is dropped on the way to callers. Whether such a body was reset was not looked at, as any transfer coding counted as one that shows its end.

Why the fix works: a coding that isn't undone here breaks the attempt, which is then retried where it may be. No coding and "identity" end with the connection, and a reset or an end that the carrying entry doesn't declare breaks these as before.

--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -28,7 +28,7 @@
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
 import { connectByRelay, type RelayedSocket } from "./relayConnection.js";
-import { hasBody, receiveBody } from "./responseBody.js";
+import { BodyFraming, framingOf, hasBody, receiveBody } from "./responseBody.js";
 import { drainResponse } from "./responseDrain.js";
 
 /** Statuses that guarantee callers that the request has not run; forwarded only if the endpoint gives that guarantee. */
@@ -328,6 +328,14 @@
             });
             return;
         }
+        if (hasBody(response, this.attempt.request.method) && framingOf(response) === BodyFraming.Unknown) {
+            request.destroy();
+            this.settle({
+                type: "Broken",
+                reason: `unknown transfer coding ${response.headers["transfer-encoding"]}`,
+            });
+            return;
+        }
         const head = { status, headers: facts.headers };
         if (this.attempt.isStreaming && isSuccess(status)) {
             const events = new EventStream(response, () => this.throwIfIncomplete(response), this.removeAbortListener);
@@ -366,7 +374,7 @@
     private watchEndOfBody(response: http.IncomingMessage): void {
         const { headers, socket } = response;
         const endsWithConnection = headers["content-length"] === undefined
-            && headers["transfer-encoding"] === undefined
+            && framingOf(response) === BodyFraming.Plain
             && hasBody(response, this.attempt.request.method);
         if (!endsWithConnection) {
             return;
--- a/src/adapters/forwarding/responseBody.ts
+++ b/src/adapters/forwarding/responseBody.ts
@@ -44,6 +44,28 @@
     }
 };
 
+/** How the end of a body shows, apart from a length. */
+export enum BodyFraming {
+    /** The body has a length, or ends with its connection. */
+    Plain = "plain",
+    Chunked = "chunked",
+    /** A transfer coding that isn't undone here, so that the body can't be forwarded. */
+    Unknown = "unknown",
+}
+
+/** Reads the transfer codings of a response. Node undoes chunks only, and takes any other coding for a part of the body. */
+export const framingOf = ({ headers }: IncomingMessage): BodyFraming => {
+    switch ((headers["transfer-encoding"] ?? "").trim().toLowerCase()) {
+        case "":
+        case "identity":
+            return BodyFraming.Plain;
+        case "chunked":
+            return BodyFraming.Chunked;
+        default:
+            return BodyFraming.Unknown;
+    }
+};
+
 /** Whether the response to a request with `method` has a body. */
 export const hasBody = ({ statusCode = 0 }: IncomingMessage, method: string): boolean =>
     method !== "HEAD" && !statusesWithoutBody.has(statusCode);
