An answer with the status 000 or 099 breaks the attempt

What callers saw: a 500 of the entry, for look-ups too, though another replica could serve them. The replica had answered with a status below 100.

Cause: Node's client accepts any three digits, and its server throws for a status below 100 when the answer is written to the caller.

Evidence: answers.test.ts > "answer with the status 000" and "099" failed before (500 for the booking, 502 expected).

Why the fix works: such an answer is none, so the attempt is broken as by any other bytes that are no answer.

--- a/__tests__/forwarding/answers.test.ts
+++ b/__tests__/forwarding/answers.test.ts
@@ -1,7 +1,7 @@
 /** Responses of faulty endpoints: none may reach a caller as a complete response to its request. */
 import { afterEach, beforeEach, expect, test } from "vitest";
 import type { ReplicaFault } from "../../platform/standins/replicaServer.js";
-import { call, Site, type SiteEntry } from "./support/site.js";
+import { call, Site, type SiteEntry, until } from "./support/site.js";
 
 let site: Site;
 let entry: SiteEntry;
@@ -141,3 +141,23 @@
     expect((await call(entry.callers, "/lookups/b", { id: "second", body: "short" })).status).toBe(200);
     expect(site.replicas.get("i-1")!.arrivals.map(({ body: got }) => got)).toEqual([body, "short"]);
 });
+
+for (const status of ["000", "099"]) {
+    test(`answer with the status ${status}`, async () => {
+        // Guards against a status that the entry can't write: the caller got an internal error, and no other endpoint was tried.
+        await site.replica("i-2", "bookings");
+        const second = site.replicas.get("i-2")!;
+        setFault(({ id }, ...[, , socket]) => {
+            socket.end(signedHead(id, ["Content-Length: 0"]).replace("200", status));
+            return true;
+        });
+        await until(() => entry.entry.directory.usable("bookings").length === 2);
+        second.fault = (...[, response]) => {
+            response.destroy();
+            return true;
+        };
+        expect((await call(entry.callers, "/places/a")).status).toBe(502);
+        second.fault = undefined;
+        expect((await call(entry.callers, "/lookups/a", { method: "GET" })).status).toBe(200);
+    });
+}
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -34,6 +34,9 @@
 /** Statuses that guarantee callers that the request has not run; forwarded only if the endpoint gives that guarantee. */
 const notRunStatuses = new Set([408, 429, 503]);
 
+/** Statuses below are interim ones, which Node handles, or none at all: they can't be passed on. */
+const lowestFinalStatus = 200;
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /** HTTP client for the endpoints of a deployment. */
@@ -336,6 +339,11 @@
             });
             return;
         }
+        if (status < lowestFinalStatus) {
+            request.destroy();
+            this.settle({ type: "Broken", reason: `status ${status} is none of HTTP` });
+            return;
+        }
         const head = { status, headers: facts.headers };
         if (this.attempt.isStreaming && isSuccess(status)) {
             const events = new EventStream(response, () => this.throwIfIncomplete(response), this.removeAbortListener);
