Callers that still send get the whole answer before their connection is closed

Callers saw ECONNRESET or EPIPE instead of a rejection (400, 401, 404, 413, 431) while they still sent their body, and an answer of 3 MB cut after 1.3 to 2.9 MB when they sent further bytes while they read the last answer of a connection ("Connection: close", as at a stop).

Cause: Node closes the connection right after the last response. The operating system resets a connection that is closed with unread bytes, or that gets bytes after it was closed, and drops what the caller hasn't received.

The entry now ends its own side first, reads and discards what the caller still sends until the caller has closed its side (RFC 9112, 9.6), and closes the connection then.

--- /dev/null
+++ b/__tests__/forwarding/handover.test.ts
@@ -0,0 +1,177 @@
+/** Answers that the entry owes are handed over whole when it closes a caller's connection. */
+import { once } from "node:events";
+import net, { type AddressInfo, type Socket } from "node:net";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { LingeringCloser } from "../../src/adapters/forwarding/lingeringClose.js";
+import { splitAddress } from "../../src/utils/address.js";
+import { systemClock } from "../../src/utils/clock.js";
+import { callerKey, Site, until } from "./support/site.js";
+
+const megabyte = 1024 * 1024;
+const bodyBytes = 16 * megabyte;
+/** Fits into the buffers of the operating system. */
+const answerBytes = 3 * megabyte;
+const readingPause = 300;
+
+let site: Site;
+
+beforeEach(async () => {
+    site = new Site();
+    await site.replica("i-1", "bookings");
+    site.configure(1);
+});
+
+afterEach(() => site.close());
+
+/** A caller's connection; collects what it receives. */
+class RawCaller {
+    readonly closed: Promise<void>;
+    text = "";
+    error: string | undefined;
+
+    private constructor(readonly socket: Socket) {
+        socket.on("data", (bytes: Buffer) => this.text += bytes.toString("latin1"));
+        socket.on("error", (error: NodeJS.ErrnoException) => this.error = error.code);
+        this.closed = new Promise(resolve => socket.once("close", () => resolve()));
+    }
+
+    static async connect(address: string): Promise<RawCaller> {
+        const { host, port } = splitAddress(address);
+        const socket = net.connect(port, host);
+        await once(socket, "connect");
+        return new RawCaller(socket);
+    }
+
+    /** Length of the body of the only answer. */
+    get answerLength(): number {
+        return this.text.length - this.text.indexOf("\r\n\r\n") - "\r\n\r\n".length;
+    }
+
+    get statuses(): number[] {
+        return [...this.text.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(found => Number(found[1]));
+    }
+}
+
+const requestHead = (id: string, target: string, lines: string[] = []): string =>
+    [
+        `POST ${target} HTTP/1.1`,
+        "Host: desk.example",
+        `Dandelionramp-Request-Id: ${id}`,
+        `Authorization: Bearer ${callerKey}`,
+        ...lines,
+        "",
+        "",
+    ].join("\r\n");
+
+/** Answers each request with `size` bytes. */
+const answerWith = (size: number): void => {
+    const replica = site.replicas.get("i-1")!;
+    replica.fault = ({ id }, response) => {
+        response.writeHead(200, { ...replica.responseHeaders(id), "content-length": size }).end(Buffer.alloc(size));
+        return true;
+    };
+};
+
+const announcedBody = `Content-Length: ${bodyBytes}`;
+const rejections = [
+    { name: "too large", head: requestHead("a", "/lookups/a", [announcedBody]), status: 413 },
+    { name: "without a route", head: requestHead("a", "/nothing/a", [announcedBody]), status: 404 },
+    {
+        name: "with an unknown key",
+        head: requestHead("a", "/lookups/a", [announcedBody]).replace(callerKey, "unknown"),
+        status: 401,
+    },
+    {
+        name: "with two identifiers",
+        head: requestHead("a", "/lookups/a", ["Dandelionramp-Request-Id: b", announcedBody]),
+        status: 400,
+    },
+    {
+        name: "with large headers",
+        head: requestHead("a", "/lookups/a", [`Filler: ${"x".repeat(5_000)}`, announcedBody]),
+        status: 431,
+    },
+    { name: "that can't be parsed", head: requestHead("a", "/lookups/a", ["Content-Length: x"]), status: 400 },
+];
+
+test.each(rejections)("caller that still sends its body gets the rejection of a request $name", async rejection => {
+    // Guards against a connection that is reset because the entry closes it with unread bytes.
+    const { callers } = await site.start("entry-1");
+    const caller = await RawCaller.connect(callers);
+    caller.socket.write(Buffer.concat([Buffer.from(rejection.head), Buffer.alloc(bodyBytes)]));
+    await caller.closed;
+    expect(caller.error).toBeUndefined();
+    expect(caller.statuses).toEqual([rejection.status]);
+    expect(caller.text).toMatch(/"execution":"not-run".*\}$/);
+});
+
+test("caller that still sends chunks gets the rejection of a request too large", async () => {
+    // Guards against the same where the entry has read a part of the body.
+    const { callers } = await site.start("entry-1");
+    const caller = await RawCaller.connect(callers);
+    caller.socket.write(requestHead("a", "/lookups/a", ["Transfer-Encoding: chunked"]));
+    const chunk = Buffer.concat([
+        Buffer.from(`${megabyte.toString(16)}\r\n`),
+        Buffer.alloc(megabyte),
+        Buffer.from("\r\n"),
+    ]);
+    for (let sentBytes = 0; sentBytes < bodyBytes; sentBytes += megabyte) {
+        caller.socket.write(chunk);
+    }
+    caller.socket.write("0\r\n\r\n");
+    await caller.closed;
+    expect(caller.error).toBeUndefined();
+    expect(caller.statuses).toEqual([413]);
+});
+
+test("caller that sends bytes while it reads the last answer of its connection gets the whole answer", async () => {
+    // Guards against a reset that drops the part of the answer that its caller hasn't received yet.
+    const { callers, entry } = await site.start("entry-1");
+    answerWith(answerBytes);
+    const caller = await RawCaller.connect(callers);
+    const stopped = entry.stop();
+    caller.socket.write(requestHead("a", "/lookups/a", ["Content-Length: 0"]));
+    await until(() => caller.statuses.length === 1);
+    caller.socket.pause();
+    await systemClock.sleep(readingPause);
+    caller.socket.write("\r\n");
+    await systemClock.sleep(readingPause);
+    caller.socket.resume();
+    await caller.closed;
+    expect(caller.error).toBeUndefined();
+    expect(caller.answerLength).toBe(answerBytes);
+    await stopped;
+});
+
+/** Closes connections after a rejection, as the entry does. */
+const listenAndReject = async (): Promise<net.Server> => {
+    const closer = new LingeringCloser(systemClock);
+    const server = net.createServer({ allowHalfOpen: true }, socket => {
+        socket.on("error", () => {});
+        socket.write("HTTP/1.1 413 Too large\r\n\r\n");
+        closer.close(socket);
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    return server;
+};
+
+test.each([
+    { name: "sends without an end", isSending: true },
+    { name: "neither sends nor closes", isSending: false },
+])("caller that $name doesn't hold its connection", async ({ isSending }) => {
+    // Guards against connections that stay open for as long as their callers want.
+    const server = await listenAndReject();
+    const { port } = server.address() as AddressInfo;
+    const socket = net.connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+    const piece = Buffer.alloc(megabyte);
+    const send = () => socket.write(piece, error => error || send());
+    socket.on("error", () => {}).resume();
+    if (isSending) {
+        send();
+    }
+    const [connection] = await once(server, "connection") as [Socket];
+    await once(connection, "close");
+    socket.destroy();
+    server.close();
+});
--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -1,6 +1,7 @@
 /** Tells whether a caller's connection is idle, so that a stopping entry may close it. */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { LingeringCloser } from "./lingeringClose.js";
 
 /** The connection of a caller. */
 export class CallerConnection {
@@ -9,7 +10,10 @@
     /** Bytes that had arrived when the last response was complete. */
     private bytesReadWhenIdle = 0;
 
-    constructor(private readonly socket: Socket) {}
+    constructor(private readonly socket: Socket, closer: LingeringCloser) {
+        // Node calls this function after the last response of a connection.
+        socket.destroySoon = () => closer.close(socket);
+    }
 
     /** Records a request and its response. */
     recordRequest(response: ServerResponse): void {
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -18,6 +18,7 @@
 import { CallerConnection } from "./callerConnection.js";
 import { CallerWriter } from "./callerWriter.js";
 import type { ForwardingWire } from "./forwardingWire.js";
+import { LingeringCloser } from "./lingeringClose.js";
 import { UnparsedRequests } from "./unparsedRequests.js";
 
 /** Node rejects larger headers while reading them; the configured limit is lower. */
@@ -48,10 +49,12 @@
 export class CallerPort {
     private readonly server: http.Server;
     private readonly connectionBySocket = new Map<Socket, CallerConnection>();
+    private readonly closer: LingeringCloser;
     private readonly unparsedRequests: UnparsedRequests;
 
     constructor(private readonly dependencies: CallerPortDependencies) {
-        this.unparsedRequests = new UnparsedRequests(dependencies.log);
+        this.closer = new LingeringCloser(dependencies.clock);
+        this.unparsedRequests = new UnparsedRequests(dependencies.log, this.closer);
         this.server = http.createServer({
             maxHeaderSize: maximumHeaderBytes,
             connectionsCheckingInterval: headerTimeoutCheckInterval,
@@ -63,7 +66,7 @@
         this.server.on("clientError", (error, socket) => this.unparsedRequests.reject(error, socket as Socket));
         this.server.on("connect", (...[, stream]) => this.unparsedRequests.rejectTunnel(stream as Socket));
         this.server.on("connection", socket => {
-            this.connectionBySocket.set(socket, new CallerConnection(socket));
+            this.connectionBySocket.set(socket, new CallerConnection(socket, this.closer));
             socket.once("close", () => this.connectionBySocket.delete(socket));
         });
     }
--- a/src/adapters/forwarding/unparsedRequests.ts
+++ b/src/adapters/forwarding/unparsedRequests.ts
@@ -5,6 +5,7 @@
 import { Execution, FailureKind, RequestFailure } from "../../core/failures.js";
 import type { PartLog } from "../../utils/log.js";
 import { problemOf } from "../callers/problem.js";
+import type { LingeringCloser } from "./lingeringClose.js";
 
 /** Why bytes can't be parsed, as Node reports it. */
 export type ParseError = Error & { code?: string; };
@@ -19,7 +20,7 @@
     private readonly responsesBySocket = new WeakMap<Socket, Set<ServerResponse>>();
     private readonly rejectedSockets = new WeakSet<Socket>();
 
-    constructor(private readonly log: PartLog) {}
+    constructor(private readonly log: PartLog, private readonly closer: LingeringCloser) {}
 
     /** Records a request on `socket` by its response. */
     recordRequest(socket: Socket, response: ServerResponse): void {
@@ -30,6 +31,9 @@
 
     /** Answers what `socket` has received last, once the requests before it have been answered. */
     reject(error: ParseError, socket: Socket): void {
+        if (this.closer.isWaiting(socket)) {
+            return;
+        }
         const earlier = this.responseBefore(socket);
         const hasLeft = earlier !== undefined && socket.readableEnded;
         if (error.code === "ECONNRESET" || !socket.writable || hasLeft) {
@@ -77,10 +81,11 @@
         const failure = new RequestFailure(failureKindOf(error.code), Execution.NotRun, error.message);
         const problem = problemOf(failure, "");
         const text = JSON.stringify(problem);
-        socket.end(
+        socket.write(
             `HTTP/1.1 ${problem.status} ${problem.title}\r\nContent-Type: application/problem+json\r\n`
                 + `Content-Length: ${Buffer.byteLength(text)}\r\nConnection: close\r\n\r\n${text}`,
         );
+        this.closer.close(socket);
     }
 }
 
