Requests on one connection are all answered beside a stop, or don't run

A caller that sends its next request before it has the answer to the one before got one answer and the end of its connection, while both had run: each answer after the signal to stop said "Connection: close", also where a request behind it was in progress, and Node closes the connection after that answer. A request that came while such an answer was read ran, too, with no way to be answered.

Only the answer to the newest request of a connection announces the close now, and what comes behind it isn't served, as RFC 9112, 9.6, demands; its caller can tell that it wasn't processed.

--- a/__tests__/forwarding/handover.test.ts
+++ b/__tests__/forwarding/handover.test.ts
@@ -143,6 +143,44 @@
     await stopped;
 });
 
+test("requests in progress on one connection are answered beside a stop, in their order", async () => {
+    // Guards against a request that runs and whose connection is closed after the answer to the request before it.
+    const { callers, entry } = await site.start("entry-1");
+    const replica = site.replicas.get("i-1")!;
+    replica.fault = ({ id }, response) => {
+        setTimeout(() => response.writeHead(200, replica.responseHeaders(id)).end(id), readingPause);
+        return true;
+    };
+    const caller = await RawCaller.connect(callers);
+    const requests = ["a", "b"].map(id => requestHead(id, "/places/a", ["Content-Length: 0"]));
+    caller.socket.write(requests.join(""));
+    await until(() => replica.arrivals.length === requests.length);
+    const stopped = entry.stop();
+    await caller.closed;
+    expect(caller.statuses).toEqual([200, 200]);
+    expect(caller.text.indexOf("Request-Id: a")).toBeLessThan(caller.text.indexOf("Request-Id: b"));
+    expect(caller.text.match(/Connection: close/g)).toHaveLength(1);
+    await stopped;
+});
+
+test("request that comes behind the announced close of its connection doesn't run", async () => {
+    // Guards against a request that runs and can't be answered.
+    const { callers, entry } = await site.start("entry-1");
+    answerWith(2 * answerBytes);
+    const caller = await RawCaller.connect(callers);
+    const stopped = entry.stop();
+    caller.socket.write(requestHead("a", "/lookups/a", ["Content-Length: 0"]));
+    await until(() => caller.text.includes("Connection: close"));
+    caller.socket.pause();
+    caller.socket.write(requestHead("b", "/places/b", ["Content-Length: 0"]));
+    await systemClock.sleep(readingPause);
+    caller.socket.resume();
+    await caller.closed;
+    expect(site.replicas.get("i-1")!.arrivals.map(({ id }) => id)).toEqual(["a"]);
+    expect(caller.answerLength).toBe(2 * answerBytes);
+    await stopped;
+});
+
 /** Closes connections after a rejection, as the entry does. */
 const listenAndReject = async (): Promise<net.Server> => {
     const closer = new LingeringCloser(systemClock);
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -114,20 +114,30 @@
     }
 
     private handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-        this.connectionBySocket.get(request.socket)?.recordRequest(response);
+        const connection = this.connectionBySocket.get(request.socket);
+        if (!connection?.recordRequest(response)) {
+            this.dependencies.log.info("A request came after the last answer of its connection.", {
+                requestId: this.dependencies.wire.readRequest(request.rawHeaders).id,
+            });
+            return;
+        }
         this.unparsedRequests.recordRequest(request.socket, response);
-        const exchange = this.openExchange(request, response);
+        const exchange = this.openExchange(request, response, connection);
         if (exchange) {
             void this.dependencies.serve(exchange).then(() => exchange.releaseBody());
         }
     }
 
     /** Creates the exchange of a request, or rejects the request at once when its head is invalid. */
-    private openExchange(request: http.IncomingMessage, response: http.ServerResponse): HttpExchange | undefined {
+    private openExchange(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        connection: CallerConnection,
+    ): HttpExchange | undefined {
         const { wire, clock } = this.dependencies;
         const { id, ...facts } = wire.readRequest(request.rawHeaders);
         const head = { ...facts, method: request.method ?? "", target: request.url ?? "", arrivedAt: clock.now() };
-        const exchange = new HttpExchange(this.dependencies, { ...head, id: id ?? "" }, request, response);
+        const exchange = new HttpExchange(this.dependencies, { ...head, id: id ?? "" }, request, response, connection);
         const limit = this.dependencies.routes()?.configuration.limits.headerBytes ?? maximumHeaderBytes;
         if (headerBytes(request.rawHeaders) + head.target.length + requestLineOverheadBytes > limit) {
             const detail = `the request line and headers exceed ${limit} bytes`;
@@ -156,6 +166,7 @@
         readonly head: RequestHead,
         private readonly request: http.IncomingMessage,
         private readonly response: http.ServerResponse,
+        private readonly connection: CallerConnection,
     ) {
         this.memory = dependencies.memoryGuard.open(head.id);
         this.writer = this.memory && new CallerWriter(response, this.memory);
@@ -260,10 +271,6 @@
         if (failure.retryAfterSeconds !== undefined) {
             headers.push("Retry-After", String(failure.retryAfterSeconds));
         }
-        if (!this.request.complete) {
-            // Reusing the connection would require reading the rest of the body first.
-            headers.push("Connection", "close");
-        }
         this.writeHead({ status: problemOf(failure, this.head.id).status, headers });
         this.response.end(text);
     }
@@ -319,7 +326,9 @@
 
     private writeHead({ status, headers }: ResponseHead): void {
         const all = [...headers];
-        if (this.dependencies.isStopping()) {
+        // Reusing the connection would require reading the rest of the body first.
+        const mustClose = !this.request.complete || this.dependencies.isStopping();
+        if (mustClose && this.connection.announceClose(this.response)) {
             all.push("Connection", "close");
         }
         this.response.writeHead(status, all);
