A request whose handling throws is answered

Callers would see: a connection that stays open without an answer until they give up. A collector of metrics or a health check likewise.

Cause: an exception while the head of a request is read, or while its handler begins, left the listener of the server; the answer to a failure that itself fails rejected a promise that nobody awaited.

--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -12,6 +12,7 @@
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { BodyTooLargeError, DandelionrampError, describeError } from "../../utils/errors.js";
 import { headerBytes } from "../../utils/headers.js";
+import { endWithInternalError } from "../../utils/httpServer.js";
 import type { PartLog } from "../../utils/log.js";
 import { abortQuietly } from "../../utils/signal.js";
 import { problemOf } from "../callers/problem.js";
@@ -122,9 +123,22 @@
             return;
         }
         this.unparsedRequests.recordRequest(request.socket, response);
+        this.serve(request, response, connection).catch(error => {
+            const stack = error instanceof Error ? error.stack : undefined;
+            this.dependencies.log.error("A request's handling has thrown.", { error: describeError(error), stack });
+            endWithInternalError(response);
+        });
+    }
+
+    private async serve(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        connection: CallerConnection,
+    ): Promise<void> {
         const exchange = this.openExchange(request, response, connection);
         if (exchange) {
-            void this.dependencies.serve(exchange).then(() => exchange.releaseBody());
+            await this.dependencies.serve(exchange);
+            exchange.releaseBody();
         }
     }
 
--- a/src/utils/httpServer.ts
+++ b/src/utils/httpServer.ts
@@ -15,10 +15,11 @@
     drain(clock: Clock, limit: Milliseconds): Promise<void>;
 }
 
-/** Handles one request. If the promise rejects, the response has status 500. */
+/** Handles one request. If it throws or the promise rejects, the response has status 500. */
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
 
-const endWithInternalError = (response: http.ServerResponse): void => {
+/** Ends a response whose handler has failed: with status 500, or by closing its connection. */
+export const endWithInternalError = (response: http.ServerResponse): void => {
     if (response.headersSent) {
         response.destroy();
         return;
@@ -30,9 +31,15 @@
 /** Listens on `host:port`. Rejects with Node's error if the address is unavailable. */
 export const listen = (address: string, handler: RequestHandler): Promise<Listener> =>
     new Promise((resolve, reject) => {
-        const server = http.createServer((request, response) => {
-            handler(request, response).catch(() => endWithInternalError(response));
-        });
+        const handle = async (request: http.IncomingMessage, response: http.ServerResponse) => {
+            try {
+                await handler(request, response);
+            }
+            catch {
+                endWithInternalError(response);
+            }
+        };
+        const server = http.createServer((request, response) => void handle(request, response));
         // Long uploads of callers have their own timeout. Node's default would close the connection without a response.
         server.requestTimeout = 0;
         server.keepAliveTimeout = 60_000;
