A body is held once while its request is in progress

Callers could see: an entry that ends because its memory is over the limit, and all its requests with it.

Cause: the listeners of a message hold the collector of its body for as long as the message exists, and the collector kept the pieces after it had joined them. So a request in progress held its body twice; the bound of buffered bytes counts it once.

Evidence: the new test found the whole body still in the collector.

--- a/__tests__/forwarding/largeBodies.test.ts
+++ b/__tests__/forwarding/largeBodies.test.ts
@@ -80,3 +80,13 @@
         expect(collector.join().equals(Buffer.concat(pieces))).toBe(true);
     }
 });
+
+test("collector keeps nothing of a body that it has handed over", () => {
+    // Guards against bodies that take twice their size as long as their requests are in progress: listeners hold the collector.
+    const collector = new ByteCollector();
+    for (let index = 0; index < 1_000; index++) {
+        collector.add(Buffer.alloc(10));
+    }
+    expect(collector.join()).toHaveLength(10_000);
+    expect(collector.join()).toHaveLength(0);
+});
--- a/src/utils/byteCollector.ts
+++ b/src/utils/byteCollector.ts
@@ -16,8 +16,11 @@
         }
     }
 
-    /** Returns all bytes. */
+    /** Returns all bytes, and keeps none of them: listeners on the message may hold this collector for as long as it exists. */
     join(): Buffer {
-        return Buffer.concat(this.joined.length === 0 ? this.pieces : [...this.joined, ...this.pieces]);
+        const pieces = this.joined.length === 0 ? this.pieces : [...this.joined, ...this.pieces];
+        this.joined = [];
+        this.pieces = [];
+        return Buffer.concat(pieces);
     }
 }
