A heartbeat that fails once no longer takes an entry out for good

Callers would see: an entry that serves without regard to the others, which take it for dead until it is restarted: its limits and budgets are no longer shared, and no entry asks it to place requests.

Cause: a background task whose promise rejects was logged and never begun again. The class is that of the exceptions that ended the process: one failure ends what all later work depends on.

Evidence: no cause of such a failure is known; the test makes one heartbeat throw. The other entry counted one living entry from then on, for as long as the test waited (9 s), and counts two now.

--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -19,6 +19,7 @@
 import type { QuarantineStorePort } from "../../ports/quarantineStore.js";
 import { StateKind, type StatePort, type StateSink } from "../../ports/statePort.js";
 import type { RoutingConfiguration } from "../../types/routing.js";
+import { keepRunning } from "../../utils/backgroundTask.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { describeError } from "../../utils/errors.js";
 import type { Listener } from "../../utils/httpServer.js";
@@ -246,8 +247,8 @@
             onCarried: () => this.core.metrics.count("carried_connections_total"),
             onConnected: endpoint => this.core.links.recordConnected(endpoint),
         });
-        this.runTask("the heartbeat", this.core.peers.runHeartbeats(this.closeController.signal));
-        this.runTask("probing lost links", this.core.links.run(this.closeController.signal));
+        this.keepRunning("the heartbeat", signal => this.core.peers.runHeartbeats(signal));
+        this.keepRunning("probing lost links", signal => this.core.links.run(signal));
         this.runTask("keeping quarantined requests", this.core.quarantineKeeper.run(this.closeController.signal));
         this.runTask("exchanging crashes", this.core.crashExchange.run(this.closeController.signal));
         this.runTask("discovering entries", this.discoverPeers());
@@ -385,15 +386,14 @@
         });
         const discovery = this.entryDiscovery.run(signal);
         if (this.settings.placement.shared) {
-            this.runTask("fetching the work in progress", this.fetchWorkWhenPlacing());
+            this.keepRunning("fetching the work in progress", taskSignal => this.fetchWorkWhenPlacing(taskSignal));
         }
         await discovery;
     }
 
     /** Fetches the work in progress whenever this entry becomes a placer, for itself or for others. */
-    private async fetchWorkWhenPlacing(): Promise<void> {
+    private async fetchWorkWhenPlacing(signal: AbortSignal): Promise<void> {
         const { clock } = this.dependencies;
-        const { signal } = this.closeController;
         const { peers } = this.core;
         let hasFetched = false;
         for (const startedAt = clock.now(); !signal.aborted;) {
@@ -463,6 +463,10 @@
         return revisions;
     }
 
+    private keepRunning(name: string, run: (signal: AbortSignal) => Promise<void>): void {
+        void keepRunning({ name, run, clock: this.dependencies.clock, log: this.log }, this.closeController.signal);
+    }
+
     private runTask(task: string, work: Promise<void>): void {
         work.catch(error => this.log.error("A background task failed.", { task, error: describeError(error) }));
     }
