A stop whose announcement fails still answers the requests in progress

Callers would see: the connection of an accepted request is reset as soon as the entry is told to stop.

Cause: an exception in the first step of the planned stop, the message to the other entries, rejected the whole stop, and the process then exited at once with code 0; no line told why. The class: a failure beside the requests ends them.

Evidence: no cause of such a failure is known; the tests make one. With an announcement that throws, the caller of a booking got "socket hang up"; now it gets its answer.

--- a/__tests__/forwarding/failingTasks.test.ts
+++ b/__tests__/forwarding/failingTasks.test.ts
@@ -1,7 +1,7 @@
-/** Background tasks that fail: the entry goes on to take part. */
-import { afterEach, beforeEach, test, vi } from "vitest";
+/** Tasks of an entry that fail: it goes on to take part, and answers its callers. */
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { systemClock } from "../../src/utils/clock.js";
-import { Site, until } from "./support/site.js";
+import { call, Site, until } from "./support/site.js";
 
 /** Longer than other entries wait for a heartbeat. */
 const lostAfter = 4_000;
@@ -28,3 +28,21 @@
     await systemClock.sleep(lostAfter);
     await until(() => first.entry.livingCount === 2 && second.entry.livingCount === 2);
 });
+
+test("request in progress is answered although the stop can't be announced", async () => {
+    // Guards against accepted requests that are cut because the first step of a planned stop has failed.
+    const replica = await site.replica("i-1", "bookings");
+    replica.fault = ({ id }, response) => {
+        setTimeout(() => response.writeHead(200, replica.responseHeaders(id)).end("booked"), 500);
+        return true;
+    };
+    const { entry, callers } = await site.start("entry-1");
+    const booking = call(callers, "/places/a");
+    await until(() => replica.arrivals.length === 1);
+    vi.spyOn(entry["core"].peers, "publishStopping").mockImplementation(() => {
+        throw new Error("the announcement failed");
+    });
+    await entry.stop();
+    expect(await booking).toMatchObject({ status: 200, body: "booked", whole: true });
+    expect(entry["core"].forwarder.activeCount).toBe(0);
+});
--- a/__tests__/forwarding/processEnds.test.ts
+++ b/__tests__/forwarding/processEnds.test.ts
@@ -161,3 +161,14 @@
     });
     closeSync(secondReader);
 });
+
+test("stop that fails is logged", async () => {
+    // Guards against an entry that ends as if all were well, though its planned stop was cut short.
+    const code = `const dgram = require("node:dgram");
+        dgram.Socket.prototype.close = () => { throw new Error("thrown by the stop"); };`;
+    const running = entry = new EntryProcess(program, settingsFile, preload("stopping", code));
+    await running.started();
+    running.child.kill("SIGTERM");
+    expect(await running.exited).toBe(1);
+    expect(running.output).toContain("\"error\":\"thrown by the stop\"");
+});
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -285,7 +285,7 @@
         const startedAt = clock.now();
         const endsAt = startedAt + this.settings.stop.graceSeconds * 1_000 - stopMargin;
         this.plannedStop = { startedAt, endsAt };
-        this.core.peers.publishStopping();
+        this.runTask("announcing the stop", this.announceStop());
         if (this.entryDiscovery) {
             this.runTask("leaving the list of entries", this.entryDiscovery.withdraw(this.closeController.signal));
         }
@@ -307,6 +307,11 @@
         await this.close();
     }
 
+    /** Asynchronous so that a failure doesn't end the stop, which the requests in progress need. */
+    private async announceStop(): Promise<void> {
+        await Promise.resolve(this.core.peers.publishStopping());
+    }
+
     /** Closes the entry at once and cuts the requests in progress. */
     async close(): Promise<void> {
         if (this.closeController.signal.aborted) {
