--- a/__tests__/forwarding/carriedEnds.test.ts
+++ b/__tests__/forwarding/carriedEnds.test.ts
@@ -1,7 +1,7 @@
 /** Responses that end with their connection, by way of another entry. */
 import fc from "fast-check";
 import http from "node:http";
-import net, { type AddressInfo, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { FrameDecoder } from "../../src/adapters/forwarding/relayFrames.js";
 import { type ConnectionGuard, serveRelay } from "../../src/adapters/forwarding/relayServer.js";
@@ -9,6 +9,7 @@
 import { splitAddress } from "../../src/utils/address.js";
 import { systemClock } from "../../src/utils/clock.js";
 import { listen, type Listener } from "../../src/utils/httpServer.js";
+import { startEarlierCarrier } from "./support/earlierCarrier.js";
 import { attemptOn, newClient, type RawEndpoint, rawHead, send, startEndpoint } from "./support/rawEndpoint.js";
 import { until } from "./support/site.js";
 
@@ -64,22 +65,6 @@
     await expect(iterator.next()).rejects.toThrow("the response was cut");
 });
 
-/** Starts an entry of an earlier version, which copies the bytes of the endpoint without frames. */
-const startEarlierCarrier = async (): Promise<{ address: string; close: () => void; }> => {
-    const server = http.createServer();
-    server.on("connect", (request, socket) => {
-        const { host, port } = splitAddress(request.url ?? "");
-        const endpointSocket = net.connect(port, host, () => {
-            socket.write("HTTP/1.1 200 Connected\r\n\r\n");
-            socket.pipe(endpointSocket).pipe(socket);
-        });
-        socket.on("error", () => endpointSocket.destroy());
-        endpointSocket.on("error", () => socket.destroy());
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, close: () => server.close() };
-};
-
 const responses = [
     { name: "a length", head: ["Content-Length: 4"], body: "four", expected: "four" },
     { name: "chunks", head: ["Transfer-Encoding: chunked"], body: "4\r\nfour\r\n0\r\n\r\n", expected: "four" },
