A 204 that announces a body breaks the attempt

What callers saw: "204 No Content" with "Content-Length: 5" and no body behind it, on a connection that stays open. A caller that goes by the length waits, or takes the next answer for the body.

Cause: Node's client reads the body of a 204 that has a length or chunks, and its server writes none. The length was forwarded.

Evidence: stoppedResponses.test.ts > "response 204 No Content with a body" failed before ("whole" for ""); raw bytes at the caller showed the length and nothing behind it.

Why the fix works: HTTP rules such a body out, so the response can't be passed on as it is, and the attempt is broken.

--- a/__tests__/forwarding/stoppedResponses.test.ts
+++ b/__tests__/forwarding/stoppedResponses.test.ts
@@ -209,3 +209,17 @@
         }
     });
 }
+
+for (const status of ["204 No Content", "304 Not Modified"]) {
+    test(`response ${status} with a body`, async () => {
+        // Guards against bytes behind a response that has no body, which the next request on the connection would get.
+        endpoint = await startEndpoint((socket, id) => socket.write(`${rawHead(id, status, [length(5)])}whole`));
+        const client = newClient();
+        for (const relay of [undefined, carrier.address, earlier.address]) {
+            for (let count = 0; count < 3; count++) {
+                const body = await wholeBody(await send(client, attemptOn(endpoint, { relay })));
+                expect(body ?? "").toBe("");
+            }
+        }
+    });
+}
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -28,7 +28,7 @@
 import { EventStream } from "./eventStream.js";
 import type { ForwardingWire, ResponseFacts } from "./forwardingWire.js";
 import { connectByRelay, type RelayedSocket } from "./relayConnection.js";
-import { BodyFraming, framingOf, hasBody, receiveBody } from "./responseBody.js";
+import { announcesForbiddenBody, BodyFraming, framingOf, hasBody, receiveBody } from "./responseBody.js";
 import { drainResponse } from "./responseDrain.js";
 
 /** Statuses that guarantee callers that the request has not run; forwarded only if the endpoint gives that guarantee. */
@@ -344,6 +344,11 @@
             this.settle({ type: "Broken", reason: `status ${status} is none of HTTP` });
             return;
         }
+        if (announcesForbiddenBody(response)) {
+            request.destroy();
+            this.settle({ type: "Broken", reason: `a response with status ${status} has a body` });
+            return;
+        }
         const head = { status, headers: facts.headers };
         if (this.attempt.isStreaming && isSuccess(status)) {
             const events = new EventStream(response, () => this.throwIfIncomplete(response), this.removeAbortListener);
--- a/src/adapters/forwarding/responseBody.ts
+++ b/src/adapters/forwarding/responseBody.ts
@@ -8,8 +8,9 @@
 import { BodyTooLargeError } from "../../utils/errors.js";
 import { costOfPiece } from "../../utils/turnLimit.js";
 
+const noContentStatus = 204;
 /** Statuses of responses without a body, whatever length their head announces. */
-const statusesWithoutBody = new Set([204, 304]);
+const statusesWithoutBody = new Set([noContentStatus, 304]);
 
 /** What {@link receiveBody} takes besides the response. */
 export interface BodyContext {
@@ -66,6 +67,11 @@
     }
 };
 
+/** Whether a response announces a body that its status rules out. Node reads such a body, and a caller may wait for it. */
+export const announcesForbiddenBody = (response: IncomingMessage): boolean =>
+    response.statusCode === noContentStatus
+    && (announcedBytes(response) > 0 || response.headers["transfer-encoding"] !== undefined);
+
 /** Whether the response to a request with `method` has a body. */
 export const hasBody = ({ statusCode = 0 }: IncomingMessage, method: string): boolean =>
     method !== "HEAD" && !statusesWithoutBody.has(statusCode);
