--- /dev/null
+++ b/__tests__/forwarding/oddObjects.test.ts
@@ -0,0 +1,84 @@
+/** Objects of another writer in the store, many at once, beside those that entries follow. */
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { StoreClient } from "../../platform/storeClient.js";
+import { StateKind } from "../../src/ports/statePort.js";
+import { systemClock } from "../../src/utils/clock.js";
+import { listen, type Listener } from "../../src/utils/httpServer.js";
+import { call, Site, type SiteEntry, until } from "./support/site.js";
+
+let site: Site;
+
+beforeEach(async () => {
+    site = new Site();
+    await site.replica("i-1", "bookings");
+    site.configure(1);
+});
+
+afterEach(() => site.close());
+
+/** Writes `count` objects of `kind`. */
+const writeOdd = (kind: string, count: number, name: (index: number) => string, value: (index: number) => unknown) => {
+    for (let index = 0; index < count; index++) {
+        site.store.model.put(kind, name(index), value(index));
+    }
+};
+
+const expectServed = async (entries: SiteEntry[]): Promise<void> => {
+    const statuses = await Promise.all(
+        entries.map(async ({ callers }) => (await call(callers, "/lookups/a", { method: "GET" })).status),
+    );
+    expect(statuses).toEqual(entries.map(() => 200));
+};
+
+/** Each entry gets to know an endpoint and a configuration that come now. */
+const expectFollowing = async (entries: SiteEntry[]): Promise<void> => {
+    const version = Math.max(...entries.map(({ entry }) => entry.configuration.version)) + 1;
+    const id = `zz-${version}`;
+    await site.replica(id, "bookings");
+    site.configure(version);
+    await until(() => entries.every(({ entry }) => entry.directory.get(id) && entry.configuration.version === version));
+    await expectServed(entries);
+};
+
+test("pages of objects whose names can't be encoded", async () => {
+    // Guards against entries that never learn of endpoints, as they can't ask for the page behind such a name.
+    writeOdd("servers", 1_100, index => `a-${index}\ud800`, () => ({ service: 5 }));
+    const entry = await site.start("entry-1");
+    await expectFollowing([entry]);
+});
+
+/** A store that answers each call with the text that `respond` returns for its path. */
+const startStore = async (respond: (target: string) => string): Promise<Listener> =>
+    await listen("127.0.0.1:0", (request, response) => {
+        response.end(respond(request.url ?? ""));
+        return Promise.resolve();
+    });
+
+const soundRecord = (name: string) => ({
+    metadata: { name, revision: 2 },
+    spec: {
+        service: "bookings",
+        address: "127.0.0.1:80",
+        zone: "north-a",
+        version: 1,
+        slots: 1,
+        state: "ready",
+        cold_remaining_ms: 0,
+        sequence: 1,
+    },
+});
+
+test("page with nothing but unreadable objects isn't the last one", async () => {
+    // Guards against endpoints on later pages that count as gone.
+    const store = await startStore(target =>
+        JSON.stringify(
+            target.includes("after=")
+                ? { items: [soundRecord("i-2")], more: false, current_rev: 2 }
+                : { items: [{ metadata: { name: "a", revision: "2" } }, 5], more: true, current_rev: 2 },
+        )
+    );
+    const { items } = await new StoreClient(store.address, systemClock)
+        .list(StateKind.Endpoints, AbortSignal.timeout(5_000));
+    expect(items.map(({ name }) => name)).toEqual(["i-2"]);
+    await store.close();
+});
