--- a/__tests__/forwarding/oddObjects.test.ts
+++ b/__tests__/forwarding/oddObjects.test.ts
@@ -47,6 +47,14 @@
     await expectFollowing([entry]);
 });
 
+test("changes that exceed the limit on a response", async () => {
+    // Guards against entries that ask again and again for changes that they can't read, and learn of no later ones.
+    const entry = await site.start("entry-1");
+    const zone = "z".repeat(1_000_000);
+    writeOdd("servers", 40, index => `a-${index}`, () => ({ service: 5, zone }));
+    await expectFollowing([entry]);
+});
+
 /** A store that answers each call with the text that `respond` returns for its path. */
 const startStore = async (respond: (target: string) => string): Promise<Listener> =>
     await listen("127.0.0.1:0", (request, response) => {
