--- a/__tests__/forwarding/oddObjects.test.ts
+++ b/__tests__/forwarding/oddObjects.test.ts
@@ -4,7 +4,7 @@
 import { StateKind } from "../../src/ports/statePort.js";
 import { systemClock } from "../../src/utils/clock.js";
 import { listen, type Listener } from "../../src/utils/httpServer.js";
-import { call, Site, type SiteEntry, until } from "./support/site.js";
+import { call, operatorConfiguration, Site, type SiteEntry, until } from "./support/site.js";
 
 let site: Site;
 
@@ -55,6 +55,14 @@
     await expectFollowing([entry]);
 });
 
+test("configurations that the operator hasn't written", async () => {
+    // Guards against a configuration under another name that is in force for good, as its version is the highest.
+    const entry = await site.start("entry-1");
+    writeOdd("config", 3, index => `main-${index}`, index => operatorConfiguration(10 ** (index + 5)));
+    await expectFollowing([entry]);
+    expect(entry.entry.configuration.version).toBe(2);
+});
+
 /** A store that answers each call with the text that `respond` returns for its path. */
 const startStore = async (respond: (target: string) => string): Promise<Listener> =>
     await listen("127.0.0.1:0", (request, response) => {
