A replica that breaks off behind another entry counts as failed, and the carrying entry's end counts against no replica

Callers of an entry that lost its links got 502 for 127 to 129 of 432 requests beside one replica of three that closes in the head of its answers; on direct connections 1 of 432. No line says that the replica is in back-off, it gets a third of all requests to the end, and the retries of all use up the budget.

Cause: after a break EndpointChecker asks whether the endpoint accepts connections, to tell its failure from a lost link. Where this entry's own link is lost it asks the others, they connect, and the result is LinkLost: LossReports takes the break for the lost link's, and CrashDetector forgets it. But the response came over a link that works, that of the carrying entry. The other way round, a break by the end of the carrying entry was judged by this entry's own link: once that was back, the endpoint accepted and so was "lost" for all.

An attempt now knows its path: the own connection, or the entry that carries it, and whether the carried connection ended without the carrying entry's declaration of the endpoint's end. The check goes over that path. If the carrying entry still connects, the endpoint has failed, as on an own connection. If it doesn't and others do, its link was lost or it has ended. After a cut path an endpoint that accepts isn't at fault, and its later restart is no crash; one that refuses connections is still one that crashed. The same holds for silent endpoints. An entry of an earlier version that declares nothing is treated as before.

A replica that resets its connection is still not told from the end of the carrying entry.

--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -3,6 +3,7 @@
 import net from "node:net";
 import { HeldKind } from "../../core/memoryBounds/heldBytes.js";
 import { ReceivedBodies } from "../../core/memoryBounds/receivedBodies.js";
+import type { AttemptPath } from "../../core/reachability/attemptPath.js";
 import {
     type AttemptOutcome,
     ConnectFailure,
@@ -66,6 +67,7 @@
         if (connection.type === "Failed") {
             return { ...connection, type: "Unreached" };
         }
+        watchCarrier(connection, attempt.path);
         return await EndpointExchange.run({ ...options, carried: connection });
     }
 
@@ -139,6 +141,16 @@
     }
 }
 
+/** Records in `path` when nothing tells any more that an end of the connection is the endpoint's. */
+const watchCarrier = ({ socket, declaresEnd }: RelayedSocket, path: AttemptPath | undefined): void => {
+    if (declaresEnd) {
+        socket.onCut = () => path?.recordCut();
+    }
+    else {
+        path?.recordCut();
+    }
+};
+
 interface ExchangeOptions {
     wire: ForwardingWire;
     clock: Clock;
--- a/src/adapters/forwarding/framedConnection.ts
+++ b/src/adapters/forwarding/framedConnection.ts
@@ -23,6 +23,8 @@
  */
 export class FramedConnection extends Duplex {
     readonly connecting = false;
+    /** Called when the carried connection has ended, and the endpoint hasn't; before the error. */
+    onCut: () => void = () => {};
     private readonly decoder = new FrameDecoder();
 
     constructor(private readonly socket: Socket) {
@@ -38,7 +40,7 @@
         // Nobody listens before the connection is used and after its response.
         this.on("error", () => {});
         socket.on("data", (bytes: Buffer) => this.receive(bytes));
-        socket.on("error", error => this.destroy(error));
+        socket.on("error", error => this.fail(error));
         socket.once("end", () => this.destroyUnlessEnded());
         socket.once("close", () => this.destroyUnlessEnded());
     }
@@ -78,7 +80,14 @@
 
     private destroyUnlessEnded(): void {
         if (!this.decoder.isEnded) {
-            this.destroy(new CarriedConnectionCutError());
+            this.fail(new CarriedConnectionCutError());
         }
     }
+
+    private fail(error: Error): void {
+        if (!this.decoder.isEnded && !this.destroyed) {
+            this.onCut();
+        }
+        this.destroy(error);
+    }
 }
--- a/src/adapters/forwarding/relayConnection.ts
+++ b/src/adapters/forwarding/relayConnection.ts
@@ -4,7 +4,6 @@
  */
 import http from "node:http";
 import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
 import { ConnectFailure } from "../../ports/forwardingPorts.js";
 import type { EndpointRecord } from "../../types/routing.js";
 import { splitAddress } from "../../utils/address.js";
@@ -37,12 +36,10 @@
 /** Time that the other entry has, beyond the connect timeout, to find out whether it reaches other endpoints. */
 const relayAnswerMargin: Milliseconds = 150;
 
-/** A connection that another entry carries. */
-export interface RelayedSocket {
-    socket: Duplex;
-    /** Whether the connection ends in the ordinary way only when the endpoint has ended it. */
-    declaresEnd: boolean;
-}
+/** A connection that another entry carries. Where it declares ends, it ends in the ordinary way only when the endpoint has ended it. */
+export type RelayedSocket =
+    | { socket: FramedConnection; declaresEnd: true; }
+    | { socket: Socket; declaresEnd: false; };
 
 /** A connection that another entry carries, or why there is none. */
 export type RelayedConnection =
@@ -96,11 +93,11 @@
             if (response.statusCode === RelayStatus.Connected) {
                 stopTimer();
                 const declaresEnd = response.headers[relayFramingHeader] === relayFraming;
-                resolve({
-                    type: "Connected",
-                    socket: declaresEnd ? new FramedConnection(socket) : socket,
-                    declaresEnd,
-                });
+                resolve(
+                    declaresEnd
+                        ? { type: "Connected", socket: new FramedConnection(socket), declaresEnd }
+                        : { type: "Connected", socket, declaresEnd },
+                );
                 return;
             }
             socket.destroy();
--- a/src/core/forwarding/attempt.ts
+++ b/src/core/forwarding/attempt.ts
@@ -2,9 +2,11 @@
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
 import type { Placement } from "../placement/endpointSelector.js";
+import { AttemptPath } from "../reachability/attemptPath.js";
 
 /** An attempt that is sent to the endpoint of its placement. */
 export class Attempt {
+    readonly path = new AttemptPath();
     /** Whether the endpoint was reported as silent, and has sent nothing since. */
     isReportedSilent = false;
     /** Whether a probe has found that an instance of the attempt accepts no connections. */
--- a/src/core/forwarding/attemptFailures.ts
+++ b/src/core/forwarding/attemptFailures.ts
@@ -93,7 +93,7 @@
             this.quarantineGate.recordAbandoned(attempt);
         }
         else {
-            void lossReports.recordBroken(attempt.endpoint);
+            void lossReports.recordBroken(attempt.endpoint, attempt.path);
             this.quarantineGate.recordBroken(attempt);
         }
         this.progress.attempts.recordBroken(attempt.endpoint.record.id);
@@ -104,7 +104,7 @@
     recordSilent(attempt: Attempt): void {
         if (!attempt.isReportedSilent) {
             attempt.isReportedSilent = true;
-            void this.progress.dependencies.lossReports.recordSilent(attempt.endpoint);
+            void this.progress.dependencies.lossReports.recordSilent(attempt.endpoint, attempt.path);
         }
     }
 
--- a/src/core/forwarding/quarantineGate.ts
+++ b/src/core/forwarding/quarantineGate.ts
@@ -90,6 +90,7 @@
         this.progress.dependencies.crashDetector.recordBroken(
             attempt.endpoint.record,
             this.presentRequest(attempt, suspectParts),
+            attempt.path,
         );
     }
 
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -300,6 +300,7 @@
         });
         return await Sender.send(this.dependencies, {
             placement,
+            path: attempt.path,
             request: this.progress.request,
             admission: this.progress.admission,
             attemptNumber: this.progress.attempts.startedCount,
--- a/src/core/forwarding/sender.ts
+++ b/src/core/forwarding/sender.ts
@@ -11,6 +11,7 @@
 import type { Placement } from "../placement/endpointSelector.js";
 import type { PlacedWork } from "../placement/engineEstimate.js";
 import { endpointsOfPlacement, workOfPlacement } from "../placement/placementWork.js";
+import type { AttemptPath } from "../reachability/attemptPath.js";
 import type { Admission } from "./admission.js";
 import type { ForwardingDependencies } from "./forwardingDependencies.js";
 import { MemoryHold } from "./memoryHold.js";
@@ -34,6 +35,7 @@
 /** One attempt to send a request. */
 export interface Dispatch {
     placement: Placement;
+    path: AttemptPath;
     request: ForwardedRequest;
     admission: Admission;
     /** Number of this attempt, counting those that failed to reserve memory. */
@@ -198,7 +200,7 @@
     }
 
     private sendToEndpoint(): Promise<AttemptOutcome> {
-        const { placement, request, admission, lastEventId, attemptNumber } = this.dispatch;
+        const { placement, path, request, admission, lastEventId, attemptNumber } = this.dispatch;
         const { route, customer } = admission;
         const { clock, endpointPort } = this.dependencies;
         const reservationIdByEndpoint = new Map(
@@ -227,6 +229,7 @@
                 isStreaming: route.kind === RequestKind.Streaming,
                 connectTimeout: connectTimeoutFor(route.targetLatency),
                 mayReuseConnection: admission.isRetryable,
+                path,
             },
             this.abortController.signal,
             this.reportListener(placement.endpoint.record),
--- a/src/core/quarantine/crashDetector.ts
+++ b/src/core/quarantine/crashDetector.ts
@@ -9,6 +9,7 @@
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { PartLog } from "../../utils/log.js";
 import type { Metrics } from "../metrics.js";
+import { AttemptPath } from "../reachability/attemptPath.js";
 import { type EndpointChecker, EndpointCondition } from "../reachability/endpointChecker.js";
 import type { PartPresence } from "./crashLog.js";
 import { headOfFingerprint, type RequestFingerprint } from "./requestFingerprint.js";
@@ -41,6 +42,8 @@
 
 interface BrokenResponses {
     endpoint: EndpointRecord;
+    /** The path of the first of them. */
+    path: AttemptPath;
     firstAt: Milliseconds;
     requests: CrashedRequest[];
     /** When the check ended; undefined while it is in progress. */
@@ -65,16 +68,16 @@
 export class CrashDetector {
     /** Called with each crash. */
     onCrash: (crash: DetectedCrash) => void = () => {};
-    private readonly brokenByEndpoint = new Map<string, BrokenResponses>();
+    private readonly brokenByKey = new Map<string, BrokenResponses>();
 
     constructor(private readonly dependencies: CrashDetectorDependencies) {}
 
-    /** Records that `endpoint` broke off its response to a request, and checks whether it has crashed. */
-    recordBroken(endpoint: EndpointRecord, request: CrashedRequest): void {
+    /** Records that `endpoint` broke off its response to a request over `path`, and checks whether it has crashed. */
+    recordBroken(endpoint: EndpointRecord, request: CrashedRequest, path = new AttemptPath()): void {
         if (this.dependencies.isLeaving(endpoint)) {
             return;
         }
-        const broken = this.findBroken(endpoint) ?? this.startCheck(endpoint);
+        const broken = this.findBroken(endpoint, path) ?? this.startCheck(endpoint, path);
         broken.requests.push(request);
         if (broken.checkedAt !== undefined) {
             this.checkAgain(broken, broken.checkedAt);
@@ -84,7 +87,7 @@
     /** Checks in progress of endpoints that broke off responses to this request. */
     pendingChecks(fingerprint: RequestFingerprint): Promise<void>[] {
         const checks: Promise<void>[] = [];
-        for (const { checkedAt, requests, checked } of this.brokenByEndpoint.values()) {
+        for (const { checkedAt, requests, checked } of this.brokenByKey.values()) {
             if (checkedAt === undefined && includesRequest(requests, fingerprint)) {
                 checks.push(checked);
             }
@@ -94,30 +97,32 @@
 
     /** Records that the list of endpoints shows another process than before under the identifier `id`. */
     recordRestart(id: string): void {
-        const broken = this.brokenByEndpoint.get(id);
-        const now = this.dependencies.clock.now();
-        if (broken && now - broken.firstAt < restartDetectionDuration) {
-            this.reportCrash(broken, "the list of endpoints shows a new process");
+        this.removeOld();
+        for (const broken of [...this.brokenByKey.values()]) {
+            if (broken.endpoint.id === id) {
+                this.reportCrash(broken, "the list of endpoints shows a new process");
+            }
         }
     }
 
-    private findBroken({ id, incarnation }: EndpointRecord): BrokenResponses | undefined {
-        const broken = this.brokenByEndpoint.get(id);
-        const isCurrent = broken?.endpoint.incarnation === incarnation
+    private findBroken(endpoint: EndpointRecord, path: AttemptPath): BrokenResponses | undefined {
+        const broken = this.brokenByKey.get(keyOf(endpoint, path));
+        const isCurrent = broken?.endpoint.incarnation === endpoint.incarnation
             && this.dependencies.clock.now() - (broken.checkedAt ?? Infinity) < checkInterval;
         return isCurrent ? broken : undefined;
     }
 
-    private startCheck(endpoint: EndpointRecord): BrokenResponses {
+    private startCheck(endpoint: EndpointRecord, path: AttemptPath): BrokenResponses {
         const broken: BrokenResponses = {
             endpoint,
+            path,
             firstAt: this.dependencies.clock.now(),
             requests: [],
             checkedAt: undefined,
             checked: Promise.resolve(),
         };
         this.removeOld();
-        this.brokenByEndpoint.set(endpoint.id, broken);
+        this.brokenByKey.set(keyOf(endpoint, path), broken);
         broken.checked = this.check(broken);
         return broken;
     }
@@ -131,11 +136,12 @@
 
     private async check(broken: BrokenResponses): Promise<void> {
         const { clock, checker } = this.dependencies;
-        const condition = await checker.check(broken.endpoint);
+        const key = keyOf(broken.endpoint, broken.path);
+        const condition = await checker.check(broken.endpoint, broken.path);
         const isReplaced = condition === EndpointCondition.Accepting
             && await this.dependencies.isReplaced(broken.endpoint);
         broken.checkedAt = clock.now();
-        if (this.brokenByEndpoint.get(broken.endpoint.id) !== broken) {
+        if (this.brokenByKey.get(key) !== broken) {
             return;
         }
         switch (condition) {
@@ -144,8 +150,8 @@
                 return;
             case EndpointCondition.LinkLost:
             case EndpointCondition.Unknown:
-                // The loss of the link explains the broken responses; a later restart of the endpoint has another cause.
-                this.brokenByEndpoint.delete(broken.endpoint.id);
+                // The loss of the path explains the broken responses; a later restart of the endpoint has another cause.
+                this.brokenByKey.delete(key);
                 return;
             case EndpointCondition.Accepting:
                 if (isReplaced) {
@@ -158,8 +164,9 @@
     }
 
     private reportCrash(broken: BrokenResponses, reason: string): void {
-        const { endpoint: { id, incarnation }, firstAt, requests } = broken;
-        this.brokenByEndpoint.delete(id);
+        const { endpoint, path, firstAt, requests } = broken;
+        const { id, incarnation } = endpoint;
+        this.brokenByKey.delete(keyOf(endpoint, path));
         this.dependencies.metrics.count("endpoint_crashes_total");
         const crash = { endpoint: id, incarnation, at: firstAt, requests };
         logCrash(this.dependencies.log, crash, reason);
@@ -168,14 +175,17 @@
 
     private removeOld(): void {
         const now = this.dependencies.clock.now();
-        for (const [id, { firstAt }] of this.brokenByEndpoint) {
+        for (const [key, { firstAt }] of this.brokenByKey) {
             if (now - firstAt >= restartDetectionDuration) {
-                this.brokenByEndpoint.delete(id);
+                this.brokenByKey.delete(key);
             }
         }
     }
 }
 
+/** What a cut path explains isn't mixed with what the endpoint broke off. */
+const keyOf = ({ id }: EndpointRecord, { isCut }: AttemptPath): string => `${isCut ? "cut" : "broken"}/${id}`;
+
 /** Logs a crash, and why it is known. */
 export const logCrash = (log: PartLog, { endpoint, incarnation, requests }: DetectedCrash, reason: string): void => {
     log.info("An endpoint crashed under requests.", {
--- a/src/core/reachability/lossReports.ts
+++ b/src/core/reachability/lossReports.ts
@@ -4,23 +4,24 @@
  */
 import type { KnownEndpoint } from "../membership/endpointDirectory.js";
 import type { FailureTracker } from "../placement/failureTracker.js";
+import type { AttemptPath } from "./attemptPath.js";
 import { type EndpointChecker, EndpointCondition } from "./endpointChecker.js";
 
 /** Reports the losses that this entry observes. */
 export class LossReports {
     constructor(private readonly checker: Pick<EndpointChecker, "check">, private readonly failures: FailureTracker) {}
 
-    /** Records that `endpoint` broke off a response. */
-    async recordBroken(endpoint: KnownEndpoint): Promise<void> {
-        if (await this.isAtFault(endpoint)) {
+    /** Records that `endpoint` broke off a response that came over `path`; undefined for this entry's own connection. */
+    async recordBroken(endpoint: KnownEndpoint, path?: AttemptPath): Promise<void> {
+        if (await this.isAtFault(endpoint, path)) {
             this.failures.recordLost(endpoint);
         }
     }
 
     /** Records that `endpoint` has been silent for long. This entry avoids it until the check has ended, as it may be slow. */
-    async recordSilent(endpoint: KnownEndpoint): Promise<void> {
+    async recordSilent(endpoint: KnownEndpoint, path?: AttemptPath): Promise<void> {
         this.failures.suspectSilent(endpoint);
-        if (await this.isAtFault(endpoint)) {
+        if (await this.isAtFault(endpoint, path)) {
             this.failures.publishSilent(endpoint);
         }
         else {
@@ -28,8 +29,8 @@
         }
     }
 
-    private async isAtFault({ record }: KnownEndpoint): Promise<boolean> {
-        const condition = await this.checker.check(record);
+    private async isAtFault({ record }: KnownEndpoint, path: AttemptPath | undefined): Promise<boolean> {
+        const condition = await this.checker.check(record, path);
         return condition !== EndpointCondition.LinkLost && condition !== EndpointCondition.Unknown;
     }
 }
--- a/src/core/reachability/relayingEndpointPort.ts
+++ b/src/core/reachability/relayingEndpointPort.ts
@@ -77,6 +77,7 @@
                     announcePause(relay, endpoint, report.retryAfter);
                 }
             };
+            attempt.path?.recordCarried(relay);
             metrics.count("relayed_sends_total");
             log.info("A request goes by way of another entry.", {
                 requestId: request.id,
--- a/src/core/reachability/relays.ts
+++ b/src/core/reachability/relays.ts
@@ -15,7 +15,7 @@
     clock: Clock;
     random: Random;
     dataCentre: string;
-    livingPeers: () => readonly LivingPeer[];
+    livingPeers: () => readonly Pick<LivingPeer, "identity" | "dataCentre" | "reachesEndpoints">[];
 }
 
 /** The other entries as carriers of connections. */
@@ -59,7 +59,8 @@
         return [...new Set(ordered)].map(({ identity: { id, address } }) => ({ id, address }));
     }
 
-    private async ask<Result>(
+    /** Calls `ask` with one entry; resolves with undefined when it carries no connection. */
+    async ask<Result>(
         relay: PeerAddress,
         ask: (relay: PeerAddress) => Promise<Result | undefined>,
     ): Promise<Result | undefined> {
--- a/src/ports/forwardingPorts.ts
+++ b/src/ports/forwardingPorts.ts
@@ -1,6 +1,7 @@
 /** Ports between forwarding and its callers and endpoints. */
 import type { RequestFailure } from "../core/failures.js";
 import type { RequestMemory } from "../core/memoryBounds/requestMemory.js";
+import type { AttemptPath } from "../core/reachability/attemptPath.js";
 import type { EndpointRecord } from "../types/routing.js";
 import type { Milliseconds } from "../utils/clock.js";
 import { DandelionrampError } from "../utils/errors.js";
@@ -76,6 +77,8 @@
     mayReuseConnection: boolean;
     /** Address of the entry that carries the connection; undefined where this entry connects itself. */
     relay?: string;
+    /** Kept up to date with how the connection runs and ends; undefined where nobody asks who has failed. */
+    path?: AttemptPath;
 }
 
 /** One event of a stream with its unchanged bytes. */
