A carrying entry declares the endpoint's reset, so that a replica that resets counts as failed behind it

Callers of an entry that lost its links got 502 for 91 to 94 of 240 requests beside one replica of three that resets its connections in the head of its answers (62 to 71 in the body); on direct connections 1 of 240.

Cause: a carrying entry passes the endpoint's reset on as a reset of the carried connection. That can't be told from its own end or that of the link between the two entries, so it counts against nobody, and the replica gets a third of all requests to the end.

An entry that asks for a carried connection now says `response-resets: frames` beside `response-framing: frames`. The carrying entry then declares a reset by a frame with a length that no content has, behind all bytes that have arrived, and closes. The path isn't cut, so the check by way of the same carrying entry decides, as it does for an own connection: it connects where the endpoint has failed, and doesn't where its own link was reset.

Builds side by side: an entry of an earlier version doesn't ask and gets the reset as before; a carrying entry of an earlier version doesn't know the header, resets, and the end counts against nobody, as before.

Failed before: two of carriedFailures.test.ts (93 and 67 of 240 failed, bound 14.8) and one of carriedEnds.test.ts (the path of a reset response was cut); frames.read fails there too, as a reset frame was taken for content. Now 1 of 240 fails in each, with 2 sends to the bad replica. An endpoint that resets after a whole answer with a length is still answered.

--- a/__tests__/forwarding/carriedEnds.test.ts
+++ b/__tests__/forwarding/carriedEnds.test.ts
@@ -5,12 +5,22 @@
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { FrameDecoder } from "../../src/adapters/forwarding/relayFrames.js";
 import { type ConnectionGuard, serveRelay } from "../../src/adapters/forwarding/relayServer.js";
+import { AttemptPath } from "../../src/core/reachability/attemptPath.js";
 import type { AttemptOutcome, StreamEvent } from "../../src/ports/forwardingPorts.js";
 import { splitAddress } from "../../src/utils/address.js";
 import { systemClock } from "../../src/utils/clock.js";
 import { listen, type Listener } from "../../src/utils/httpServer.js";
+import { SocketEnd } from "../../src/utils/socketEnd.js";
 import { startEarlierCarrier } from "./support/earlierCarrier.js";
-import { attemptOn, newClient, type RawEndpoint, rawHead, send, startEndpoint } from "./support/rawEndpoint.js";
+import {
+    attemptOn,
+    newClient,
+    type RawEndpoint,
+    rawHead,
+    type RawResponder,
+    send,
+    startEndpoint,
+} from "./support/rawEndpoint.js";
 import { until } from "./support/site.js";
 
 let carrier: Listener;
@@ -108,24 +118,107 @@
     expect(text).toBe(`${unframed("r")}four`);
 });
 
+test("entry that doesn't ask for declared resets gets the endpoint's reset as one of its connection", async () => {
+    // Guards against a frame that an entry of an earlier version takes for the length of content.
+    endpoint = await startEndpoint(socket => socket.resetAndDestroy());
+    const { host, port } = splitAddress(carrier.address);
+    const { address, id } = endpoint.record;
+    const headers = { "endpoint-id": id, "response-framing": "frames" };
+    const request = http.request({ host, port, method: "CONNECT", path: address, headers });
+    const received = await new Promise<string>(resolve => {
+        request.once("connect", (...[, socket]) => {
+            socket.on("error", ({ code }: NodeJS.ErrnoException) => resolve(code!));
+            socket.on("data", (bytes: Buffer) => resolve(bytes.toString("hex")));
+            socket.once("end", () => resolve("end"));
+            socket.write("GET / HTTP/1.1\r\nRequest-Id: r\r\n\r\n");
+        });
+        request.end();
+    });
+    expect(received).toBe("ECONNRESET");
+});
+
+interface PathEnd {
+    name: string;
+    respond: RawResponder;
+    /** What happens to the carried connection once half of the answer has arrived. */
+    endCarried?: (socket: Socket) => void;
+    isCut: boolean;
+}
+
+const half = (id: string): string => `${rawHead(id, "200 OK", ["Content-Length: 8"])}half`;
+const pathEnds: PathEnd[] = [
+    { name: "endpoint closes", respond: (socket, id) => socket.end(half(id)), isCut: false },
+    {
+        name: "endpoint resets",
+        respond: (socket, id) => socket.write(half(id), () => socket.resetAndDestroy()),
+        isCut: false,
+    },
+    { name: "endpoint sends no HTTP", respond: socket => socket.write("220 ready\r\n\r\n"), isCut: false },
+    {
+        name: "carrying entry closes",
+        respond: (socket, id) => socket.write(half(id)),
+        endCarried: socket => socket.end(),
+        isCut: true,
+    },
+    {
+        name: "carrying entry resets",
+        respond: (socket, id) => socket.write(half(id)),
+        endCarried: socket => socket.resetAndDestroy(),
+        isCut: true,
+    },
+];
+
+for (const { name, respond, endCarried, isCut } of pathEnds) {
+    test(`path of a carried response that breaks off, ${name}`, async () => {
+        // Guards against an end of the carrying entry that counts as the endpoint's, and the other way round.
+        endpoint = await startEndpoint(respond);
+        const path = new AttemptPath();
+        const answered = send(newClient(), attemptOn(endpoint, { relay: carrier.address, path }));
+        if (endCarried) {
+            await until(() => (carriedSocket?.bytesWritten ?? 0) > half("").length);
+            endCarried(carriedSocket!);
+        }
+        expect((await answered).type).toBe("Broken");
+        expect(path.isCut).toBe(isCut);
+        await until(() => endpoint.sockets.size === 0 && guard.openConnections === 0);
+    });
+}
+
+test("carried response with a length that its endpoint resets after the last byte is whole", async () => {
+    // Guards against bytes that are dropped because the reset behind them arrives with them.
+    endpoint = await startEndpoint((socket, id) => {
+        const response = rawHead(id, "200 OK", [`Content-Length: ${whole.length}`]) + whole;
+        socket.write(response, () => setTimeout(() => socket.resetAndDestroy(), 50));
+    });
+    const outcome = await send(newClient(), attemptOn(endpoint, { relay: carrier.address }));
+    expect(bodyOf(outcome)).toBe(whole);
+});
+
 test("frames are read alike however they arrive", () => {
     // Guards against content that is lost or taken for a header where a piece ends inside a frame.
+    const anyEnd = fc.constantFrom(SocketEnd.Closed, SocketEnd.Reset);
     const contents = fc.array(fc.uint8Array({ minLength: 1, maxLength: 40 }), { maxLength: 8 });
     fc.assert(
-        fc.property(contents, fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }), (frames, sizes) => {
-            const headerOf = (length: number): Buffer => Buffer.from([0, 0, 0, length]);
-            const bytes = Buffer.concat([...frames.flatMap(frame => [headerOf(frame.length), frame]), headerOf(0)]);
-            const decoder = new FrameDecoder();
-            const read: Buffer[] = [];
-            for (let position = 0, index = 0; position < bytes.length; index++) {
-                expect(decoder.isEnded).toBe(false);
-                const size = sizes[index % sizes.length]!;
-                read.push(...decoder.read(bytes.subarray(position, position + size)));
-                position += size;
-            }
-            expect(decoder.isEnded).toBe(true);
-            expect(Buffer.concat(read)).toEqual(Buffer.concat(frames));
-        }),
+        fc.property(
+            contents,
+            fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }),
+            anyEnd,
+            (frames, sizes, end) => {
+                const headerOf = (length: number): Buffer => Buffer.from([0, 0, 0, length]);
+                const lastFrame = end === SocketEnd.Closed ? headerOf(0) : Buffer.alloc(4, 0xff);
+                const bytes = Buffer.concat([...frames.flatMap(frame => [headerOf(frame.length), frame]), lastFrame]);
+                const decoder = new FrameDecoder();
+                const read: Buffer[] = [];
+                for (let position = 0, index = 0; position < bytes.length; index++) {
+                    expect(decoder.isEnded).toBe(false);
+                    const size = sizes[index % sizes.length]!;
+                    read.push(...decoder.read(bytes.subarray(position, position + size)));
+                    position += size;
+                }
+                expect(decoder.end).toBe(end);
+                expect(Buffer.concat(read)).toEqual(Buffer.concat(frames));
+            },
+        ),
         { seed: 1 },
     );
 });
--- a/__tests__/forwarding/carriedFailures.test.ts
+++ b/__tests__/forwarding/carriedFailures.test.ts
@@ -67,7 +67,18 @@
 
 const breaks: Break[] = [
     { name: "closes in the head of its answers", breakOff: (socket, head) => socket.end(head.slice(0, 30)) },
+    {
+        name: "resets in the head of its answers",
+        breakOff: (socket, head) => {
+            socket.write(head.slice(0, 30));
+            socket.resetAndDestroy();
+        },
+    },
     { name: "closes in the body of its answers", breakOff: (socket, head) => socket.end(`${head}half`) },
+    {
+        name: "resets in the body of its answers",
+        breakOff: (socket, head) => socket.write(`${head}half`, () => setTimeout(() => socket.resetAndDestroy(), 5)),
+    },
 ];
 
 const headOf = (replica: ReplicaServer, id: string): string => {
--- a/src/adapters/forwarding/framedConnection.ts
+++ b/src/adapters/forwarding/framedConnection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
 import { DandelionrampError } from "../../utils/errors.js";
+import { SocketEnd } from "../../utils/socketEnd.js";
 import { FrameDecoder } from "./relayFrames.js";
 
 // Node's streams take null for the end of their input.
@@ -15,8 +16,16 @@
     }
 }
 
+/** The carrying entry has declared that the endpoint reset its connection. */
+export class CarriedConnectionResetError extends DandelionrampError {
+    constructor() {
+        super("the endpoint reset its connection to the entry that carried the response");
+    }
+}
+
 /**
- * The bytes of the endpoint, without their frames. Ends when the carrying entry declares the endpoint's end, and fails with a
+ * The bytes of the endpoint, without their frames. Ends when the carrying entry declares the endpoint's end, fails with a
+ * {@link CarriedConnectionResetError} when it declares a reset, and with a
  * {@link CarriedConnectionCutError} when the connection to that entry ends before. Bytes to the endpoint have no frames.
  *
  * Node's HTTP client uses it as a socket, so it has the methods of one that Node and this project call.
@@ -73,8 +82,15 @@
                 this.socket.pause();
             }
         }
-        if (this.decoder.isEnded) {
-            this.push(endOfInput);
+        switch (this.decoder.end) {
+            case undefined:
+                return;
+            case SocketEnd.Closed:
+                this.push(endOfInput);
+                return;
+            case SocketEnd.Reset:
+                // What has arrived before the reset is read first.
+                setImmediate(() => this.destroy(new CarriedConnectionResetError()));
         }
     }
 
--- a/src/adapters/forwarding/relayConnection.ts
+++ b/src/adapters/forwarding/relayConnection.ts
@@ -21,6 +21,12 @@
 /** Header of the request and of the answer: the bytes of the endpoint come in frames, see {@link sendFrames}. */
 export const relayFramingHeader = "response-framing";
 export const relayFraming = "frames";
+/**
+ * Header of the request: the entry understands the frame that declares a reset. An entry of an earlier version doesn't know it,
+ * and resets the carried connection instead.
+ */
+export const relayResetHeader = "response-resets";
+export const relayResetFraming = "frames";
 
 /** Statuses of the other entry's answer. */
 export enum RelayStatus {
@@ -63,6 +69,7 @@
                     [relayEndpointHeader]: endpoint.id,
                     [relayTimeoutHeader]: String(connectTimeout),
                     [relayFramingHeader]: relayFraming,
+                    [relayResetHeader]: relayResetFraming,
                 },
                 agent: false,
             })
--- a/src/adapters/forwarding/relayFrames.ts
+++ b/src/adapters/forwarding/relayFrames.ts
@@ -3,13 +3,16 @@
  *
  * A response without a length ends with its connection, and the end of a byte stream doesn't say who has ended it: a carrying
  * process that is killed closes the connection as an endpoint does that has sent all. So the bytes come in frames, each behind
- * its length, and an empty frame declares that the endpoint has closed the connection.
+ * its length, and an empty frame declares that the endpoint has closed the connection. A frame whose length no content has
+ * declares that the endpoint has reset it, to entries that ask for it.
  */
 import type { Socket } from "node:net";
+import { SocketEnd } from "../../utils/socketEnd.js";
 
 const lengthBytes = 4;
-/** Length of the frame that declares the endpoint's end. */
-const endLength = 0;
+/** Lengths of the frames that declare how the endpoint has ended the connection. */
+const closedLength = 0;
+const resetLength = 0xffff_ffff;
 
 const formatLength = (length: number): Buffer => {
     const bytes = Buffer.allocUnsafe(lengthBytes);
@@ -17,7 +20,10 @@
     return bytes;
 };
 
-/** Copies what `source` sends to `target` in frames, and ends `target` with the last frame when `source` ends. */
+/**
+ * Copies what `source` sends to `target` in frames, and ends `target` with the last frame when `source` ends, unless that is
+ * declared already.
+ */
 export const sendFrames = (source: Socket, target: Socket): void => {
     source.on("data", (bytes: Buffer) => {
         target.cork();
@@ -29,7 +35,19 @@
         }
     });
     target.on("drain", () => source.resume());
-    source.once("end", () => target.end(formatLength(endLength)));
+    source.once("end", () => declareEnd(target, closedLength));
+};
+
+/** Ends `target` with the frame that declares a reset. What `target` still sends is dropped, so that its end is noticed. */
+export const declareReset = (target: Socket): void => {
+    declareEnd(target, resetLength);
+    target.resume();
+};
+
+const declareEnd = (target: Socket, length: number): void => {
+    if (target.writable) {
+        target.end(formatLength(length));
+    }
 };
 
 /** Reads frames from the pieces in which they arrive. */
@@ -38,16 +56,20 @@
     private headerBytes = 0;
     /** Bytes of the current frame that haven't arrived yet. */
     private missingBytes = 0;
-    private hasEnd = false;
+    private declaredEnd: SocketEnd | undefined;
+
+    /** How the endpoint has ended the connection, once that is declared. */
+    get end(): SocketEnd | undefined {
+        return this.declaredEnd;
+    }
 
-    /** Whether the end has been declared. */
     get isEnded(): boolean {
-        return this.hasEnd;
+        return this.declaredEnd !== undefined;
     }
 
     /** Returns the content of a piece, which may hold parts of several frames. What follows the end is left out. */
     *read(piece: Buffer): Generator<Buffer, void> {
-        for (let position = 0; position < piece.length && !this.hasEnd;) {
+        for (let position = 0; position < piece.length && !this.isEnded;) {
             if (this.missingBytes > 0) {
                 const content = piece.subarray(position, position + this.missingBytes);
                 this.missingBytes -= content.length;
@@ -65,9 +87,21 @@
         this.headerBytes += copied;
         if (this.headerBytes === lengthBytes) {
             this.headerBytes = 0;
-            this.missingBytes = this.header.readUInt32BE();
-            this.hasEnd = this.missingBytes === endLength;
+            this.start(this.header.readUInt32BE());
         }
         return copied;
     }
+
+    private start(length: number): void {
+        switch (length) {
+            case closedLength:
+                this.declaredEnd = SocketEnd.Closed;
+                return;
+            case resetLength:
+                this.declaredEnd = SocketEnd.Reset;
+                return;
+            default:
+                this.missingBytes = length;
+        }
+    }
 }
--- a/src/adapters/forwarding/relayServer.ts
+++ b/src/adapters/forwarding/relayServer.ts
@@ -14,10 +14,12 @@
     relayEndpointHeader,
     relayFraming,
     relayFramingHeader,
+    relayResetFraming,
+    relayResetHeader,
     RelayStatus,
     relayTimeoutHeader,
 } from "./relayConnection.js";
-import { sendFrames } from "./relayFrames.js";
+import { declareReset, sendFrames } from "./relayFrames.js";
 
 /** Upper bound of the connect timeout that another entry asks for. */
 const maximumConnectTimeout: Milliseconds = 1_000;
@@ -126,13 +128,16 @@
     }
 
     /**
-     * Copies bytes until both sides have closed. A reset on one side is passed on: it shows that a response was cut. An entry of
-     * an earlier version asks for no frames.
+     * Copies bytes until both sides have closed. A reset on one side is passed on: it shows that a response was cut. Where the
+     * other entry asks for it, a frame declares the endpoint's reset, so that it isn't taken for one by this entry. An entry of
+     * an earlier version asks for no such frame, or for none at all.
      */
     private carry(endpointSocket: Socket): void {
         const { entrySocket } = this;
         this.dependencies.onCarried();
-        const usesFrames = this.request.headers[relayFramingHeader] === relayFraming;
+        const { headers } = this.request;
+        const usesFrames = headers[relayFramingHeader] === relayFraming;
+        const declaresResets = usesFrames && headers[relayResetHeader] === relayResetFraming;
         const framing = usesFrames ? `${relayFramingHeader}: ${relayFraming}\r\n` : "";
         entrySocket.write(`HTTP/1.1 ${RelayStatus.Connected} Connected\r\n${framing}\r\n`);
         entrySocket.pipe(endpointSocket);
@@ -142,8 +147,9 @@
         else {
             endpointSocket.pipe(entrySocket);
         }
-        resetWith(endpointSocket, entrySocket);
-        resetWith(entrySocket, endpointSocket);
+        const passReset = () => declaresResets ? declareReset(entrySocket) : entrySocket.resetAndDestroy();
+        endWith(endpointSocket, entrySocket, passReset);
+        endWith(entrySocket, endpointSocket, () => endpointSocket.resetAndDestroy());
         entrySocket.setTimeout(
             this.dependencies.idleTimeout ?? defaultIdleTimeout,
             () => entrySocket.resetAndDestroy(),
@@ -151,17 +157,17 @@
     }
 }
 
-/** Resets `other` when `socket` is reset, fails or closes before both have ended. */
-const resetWith = (socket: Socket, other: Socket): void => {
+/** Ends `other` with `socket`. Calls `passReset` when `socket` is reset, fails or closes before both have ended. */
+const endWith = (socket: Socket, other: Socket, passReset: () => void): void => {
     watchEnd(socket, end => {
         if (end === SocketEnd.Reset) {
-            other.resetAndDestroy();
+            passReset();
         }
     });
-    socket.once("error", () => other.resetAndDestroy());
+    socket.once("error", passReset);
     socket.once("close", () => {
         if (!socket.readableEnded) {
-            other.resetAndDestroy();
+            passReset();
             return;
         }
         other.end();
