Requests still in progress at the end of a stop get an answer

Callers whose requests were still in progress when the grace period ended saw their connection reset. Where two of three entries stop at once, the balancer sends new connections to all of them until they end, so that requests also come seconds after the signal to stop. For a service without an engine the target latency stands for the duration, and a booking of 2.5 s that came late was accepted, ran, and was cut 600 ms before the end of the grace period.

Now the requests in progress end there as they do at their deadline: 502, outcome unknown, if an endpoint may have begun them, 503 otherwise. Their callers get 250 ms of the reserved 600 ms to receive it. What arrives in that time gets a 503 and doesn't run. A response that has begun is still cut, so that it doesn't look complete.

The test failed before with "socket hang up".

--- a/__tests__/forwarding/stop.test.ts
+++ b/__tests__/forwarding/stop.test.ts
@@ -132,3 +132,16 @@
     expect(short).toMatchObject({ status: 200, whole: true });
     await stopped;
 });
+
+test("request still in progress at the end of a stop is answered", async () => {
+    // Guards against a booking that runs while its caller's connection is reset, as it came late in the stop and takes long.
+    const replica = site.replicas.get("i-1")!;
+    replica.fault = () => true;
+    site.configure(2, { places: { timeout_ms: 30_000 } });
+    const { entry, callers } = await site.start("entry-1");
+    const stopped = entry.stop();
+    const answer = call(callers, "/places/a", { headers: { "dandelionramp-deadline-ms": "30000" } });
+    expect(await answer).toMatchObject({ status: 502, whole: true });
+    expect(JSON.parse((await answer).body)).toMatchObject({ execution: "unknown" });
+    await stopped;
+});
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -44,6 +44,8 @@
 /** Reserved from the grace period for cutting the remaining requests and ending the process. */
 const stopMargin: Milliseconds = 600;
 const drainPollInterval: Milliseconds = 50;
+/** How long the callers of requests that are still in progress at the end of a stop get to receive their failures. */
+const lastAnswersDuration: Milliseconds = 250;
 /**
  * How long an entry waits for its peers before it queries the store, when the whole site starts for the first time. No
  * caller is waiting yet, and the longer wait avoids calls to the store.
@@ -278,7 +280,8 @@
 
     /**
      * Stops the entry as planned. It reports that it is not ready at once, keeps serving until the balancer has noticed, then
-     * drains until the last request has ended or the grace period is over. Resolves when everything is closed.
+     * drains until the last request has ended or the grace period is over. What is then still in progress fails. Resolves when
+     * everything is closed.
      */
     async stop(): Promise<void> {
         const { clock } = this.dependencies;
@@ -291,20 +294,30 @@
         }
         this.log.info("The entry is stopping.", { active: this.core.forwarder.activeCount });
         await clock.sleep(Math.min(minimumDrainDuration, endsAt - startedAt));
+        await this.drain(endsAt);
+        this.log.info("The entry has stopped.", {
+            active: this.core.forwarder.activeCount,
+            took: clock.now() - startedAt,
+        });
+        if (this.core.forwarder.activeCount > 0) {
+            this.core.forwarder.endAtStop();
+            await this.drain(endsAt + lastAnswersDuration);
+        }
+        await this.close();
+    }
+
+    /** Resolves when no connection is open any more, at `endsAt` at the latest. */
+    private async drain(endsAt: Milliseconds): Promise<void> {
+        const { clock } = this.dependencies;
         while (clock.now() < endsAt) {
             this.callerPort.closeIdleConnections();
             const { forwarder, relayGuard } = this.core;
             const connections = this.callerPort.connectionCount + relayGuard.openConnections;
             if (forwarder.activeCount === 0 && connections === 0) {
-                break;
+                return;
             }
             await clock.sleep(drainPollInterval);
         }
-        this.log.info("The entry has stopped.", {
-            active: this.core.forwarder.activeCount,
-            took: clock.now() - startedAt,
-        });
-        await this.close();
     }
 
     /** Asynchronous so that a failure doesn't end the stop, which the requests in progress need. */
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -4,6 +4,7 @@
 import { Execution, FailureKind, RequestFailure } from "../failures.js";
 import { admit } from "./admission.js";
 import type { ForwardingDependencies } from "./forwardingDependencies.js";
+import { createStopFailure } from "./overload.js";
 import { RequestTask } from "./requestTask.js";
 
 /** How long a request waits for an entry that is starting to become ready, and how often readiness is checked. */
@@ -15,6 +16,9 @@
 /** Serves the exchanges of callers. */
 export class Forwarder {
     private readonly requestIdByExchange = new Map<CallerExchange, string>();
+    /** Requests whose bodies have been read. */
+    private readonly tasks = new Set<RequestTask>();
+    private hasStopped = false;
 
     constructor(private readonly dependencies: ForwardingDependencies) {}
 
@@ -33,6 +37,14 @@
         return [...this.requestIdByExchange.values()];
     }
 
+    /** Ends the requests in progress because this entry has stopped. Callers whose responses haven't begun get a failure. */
+    endAtStop(): void {
+        this.hasStopped = true;
+        for (const task of this.tasks) {
+            task.endAtStop();
+        }
+    }
+
     /** Serves one request to its end. Never rejects. */
     async serve(exchange: CallerExchange): Promise<void> {
         this.requestIdByExchange.set(exchange, exchange.head.id);
@@ -59,12 +71,18 @@
         metrics.count("requests_total", `kind="${admission.route.kind}"`);
         const limits = configuration.routes!.configuration.limits;
         const body = await exchange.readBody(limits.bodyBytes);
-        await new RequestTask(
-            this.dependencies,
-            exchange,
-            { ...exchange.head, body, memory: exchange.memory },
-            admission,
-        ).run();
+        if (this.hasStopped) {
+            throw createStopFailure(false);
+        }
+        const request = { ...exchange.head, body, memory: exchange.memory };
+        const task = new RequestTask(this.dependencies, exchange, request, admission);
+        this.tasks.add(task);
+        try {
+            await task.run();
+        }
+        finally {
+            this.tasks.delete(task);
+        }
     }
 
     /**
--- a/src/core/forwarding/overload.ts
+++ b/src/core/forwarding/overload.ts
@@ -7,7 +7,7 @@
 import { RequestKind, type Route } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import type { Random } from "../../utils/random.js";
-import { FailureKind } from "../failures.js";
+import { Execution, FailureKind, RequestFailure } from "../failures.js";
 import type { PlannedStop } from "./forwardingDependencies.js";
 
 /** Retry-After when an endpoint was too busy: the time of a few short requests. */
@@ -81,6 +81,14 @@
         : undefined;
 };
 
+/** Creates the failure of a request that is still in progress when this entry has stopped. */
+export const createStopFailure = (wasSent: boolean): RequestFailure => {
+    const detail = "this entry has stopped before the response was complete";
+    return wasSent
+        ? new RequestFailure(FailureKind.OutcomeUnknown, Execution.Unknown, detail)
+        : new RequestFailure(FailureKind.Stopping, Execution.NotRun, detail, stoppingRetrySeconds);
+};
+
 /**
  * Rejects a stream whose first event would arrive after its caller gives up. The caller should retry once the work that it
  * would have waited for is done.
--- a/src/core/forwarding/requestProgress.ts
+++ b/src/core/forwarding/requestProgress.ts
@@ -9,7 +9,7 @@
 import type { Admission } from "./admission.js";
 import { Attempts } from "./attempts.js";
 import type { ForwardingDependencies } from "./forwardingDependencies.js";
-import { callerPatience } from "./overload.js";
+import { callerPatience, createStopFailure } from "./overload.js";
 import { StreamRelay } from "./streamRelay.js";
 
 /** With less time than this left, an attempt is not worth sending. */
@@ -30,6 +30,7 @@
     /** Identifies the request by its content, also when its caller sends it again. */
     readonly fingerprint: RequestFingerprint;
     private readonly endController = new AbortController();
+    private hasEntryStopped = false;
 
     constructor(
         readonly dependencies: ForwardingDependencies,
@@ -50,6 +51,12 @@
         abortQuietly(this.endController);
     }
 
+    /** Ends the request because this entry has stopped. */
+    endAtStop(): void {
+        this.hasEntryStopped = true;
+        this.end();
+    }
+
     get timeLeft(): Milliseconds {
         return this.admission.deadline - this.dependencies.clock.now();
     }
@@ -88,13 +95,19 @@
             : new RequestFailure(kind, Execution.NotRun, detail, retryAfterSeconds);
     }
 
-    /** Throws when the caller has disconnected, the deadline has passed or the buffered data of the request stays unread. */
+    /**
+     * Throws when the caller has disconnected, the deadline has passed, this entry has stopped or the buffered data of the request
+     * stays unread.
+     */
     throwIfEnded(): void {
         if (this.exchange.memory?.ended.aborted) {
             throw this.attempts.countedAttempts === 0
                 ? createMemoryFailure()
                 : new RequestFailure(FailureKind.OutcomeUnknown, Execution.Unknown, memoryBoundDetail);
         }
+        if (this.hasEntryStopped) {
+            throw createStopFailure(this.attempts.countedAttempts > 0);
+        }
         if (this.ended.aborted || this.timeLeft <= 0) {
             const execution = this.attempts.countedAttempts === 0 ? Execution.NotRun : Execution.Unknown;
             const detail = this.exchange.disconnected.aborted
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -121,6 +121,11 @@
         }
     }
 
+    /** Ends the request because this entry has stopped. */
+    endAtStop(): void {
+        this.progress.endAtStop();
+    }
+
     private async sendUntilDone(): Promise<void> {
         for (;;) {
             const { attempt, outcome } = await this.nextResult();
