A request in progress keeps its answer when bytes behind it can't be read

A caller got 400 or 408 with execution "not-run" in place of the answer to its request, while the request ran: where bytes that aren't a request, a request with a broken body, or only a part of the next head (until the header timeout) came behind it on its connection. The rejection was written at once, also into the middle of an answer, and the connection closed.

The rejection is sent behind the answers to the requests in progress now, and the connection closes then.

--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -1,5 +1,5 @@
 /** The requests of one connection of a caller: which of them are served, and when the connection may be closed. */
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { LingeringCloser } from "./lingeringClose.js";
 
@@ -7,12 +7,16 @@
 export class CallerConnection {
     /** Responses that the system hasn't taken over completely, in the order of their requests. */
     private readonly openResponses = new Set<ServerResponse>();
-    private newestResponse: ServerResponse | undefined;
+    /** The newest request, until it is answered. */
+    private newest: { request: IncomingMessage; response: ServerResponse; } | undefined;
+    /** Whether no further request is served. */
     private hasAnnouncedClose = false;
+    /** What the connection ends with once the responses in progress are complete. */
+    private finalBytes: string | undefined;
     /** Bytes that had arrived when the last response was complete. */
     private bytesReadWhenIdle = 0;
 
-    constructor(private readonly socket: Socket, closer: LingeringCloser) {
+    constructor(private readonly socket: Socket, private readonly closer: LingeringCloser) {
         // Node calls this function after the last response of a connection.
         socket.destroySoon = () => closer.close(socket);
     }
@@ -21,22 +25,47 @@
      * Records a request and its response. Returns whether the request is served: behind a response that announces the close of
      * the connection, it would run without an answer.
      */
-    recordRequest(response: ServerResponse): boolean {
+    recordRequest(request: IncomingMessage, response: ServerResponse): boolean {
         if (this.hasAnnouncedClose) {
             return false;
         }
-        this.newestResponse = response;
+        this.newest = { request, response };
         this.openResponses.add(response);
-        response.once("close", () => {
-            this.openResponses.delete(response);
-            this.bytesReadWhenIdle = this.socket.bytesRead;
-        });
+        response.once("close", () => this.recordEnded(response));
         return true;
     }
 
+    /** Whether the entry has ended its side, and reads no further request. */
+    get isClosing(): boolean {
+        return this.closer.isWaiting(this.socket);
+    }
+
+    /** Whether the caller has ended its side while it has responses to come. */
+    get hasCallerLeft(): boolean {
+        return this.socket.readableEnded && this.openResponses.size > 0;
+    }
+
+    /** Whether the connection closes behind the responses in progress. */
+    get isEnding(): boolean {
+        return this.finalBytes !== undefined;
+    }
+
+    /**
+     * Sends `bytes` behind the responses in progress and closes the connection. They are the answer to what can't be read: to a
+     * request whose body hasn't arrived, if there is one without a response.
+     */
+    endWith(bytes: string): void {
+        this.hasAnnouncedClose = true;
+        this.finalBytes = bytes;
+        if (this.newest && !this.newest.request.complete && !this.newest.response.headersSent) {
+            this.openResponses.delete(this.newest.response);
+        }
+        this.writeFinalBytes();
+    }
+
     /** Returns whether `response` may announce the close, which no request waits behind. No later request is served then. */
     announceClose(response: ServerResponse): boolean {
-        if (response !== this.newestResponse) {
+        if (response !== this.newest?.response) {
             return false;
         }
         this.hasAnnouncedClose = true;
@@ -51,4 +80,23 @@
             socket.destroy();
         }
     }
+
+    private recordEnded(response: ServerResponse): void {
+        this.openResponses.delete(response);
+        this.bytesReadWhenIdle = this.socket.bytesRead;
+        if (response === this.newest?.response) {
+            this.newest = undefined;
+        }
+        this.writeFinalBytes();
+    }
+
+    private writeFinalBytes(): void {
+        const { socket, finalBytes } = this;
+        if (finalBytes === undefined || this.openResponses.size > 0 || !socket.writable) {
+            return;
+        }
+        this.finalBytes = undefined;
+        socket.write(finalBytes);
+        this.closer.close(socket);
+    }
 }
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -55,7 +55,7 @@
 
     constructor(private readonly dependencies: CallerPortDependencies) {
         this.closer = new LingeringCloser(dependencies.clock);
-        this.unparsedRequests = new UnparsedRequests(dependencies.log, this.closer);
+        this.unparsedRequests = new UnparsedRequests(dependencies.log, socket => this.connectionBySocket.get(socket));
         this.server = http.createServer({
             maxHeaderSize: maximumHeaderBytes,
             connectionsCheckingInterval: headerTimeoutCheckInterval,
@@ -116,13 +116,12 @@
 
     private handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
         const connection = this.connectionBySocket.get(request.socket);
-        if (!connection?.recordRequest(response)) {
+        if (!connection?.recordRequest(request, response)) {
             this.dependencies.log.info("A request came after the last answer of its connection.", {
                 requestId: this.dependencies.wire.readRequest(request.rawHeaders).id,
             });
             return;
         }
-        this.unparsedRequests.recordRequest(request.socket, response);
         this.serve(request, response, connection).catch(error => {
             const stack = error instanceof Error ? error.stack : undefined;
             this.dependencies.log.error("A request's handling has thrown.", { error: describeError(error), stack });
