A stop cuts no request that arrives late in it: services without an engine go by their longest answers

Cause: a stopping entry rejects what it wouldn't end in time, and took the target latency for the duration of what a service without an engine does, 0.3 s here. As each answer closes its connection and callers open new ones, such requests come until the end.

Now the longest duration of the last one to two minutes on the route counts, with a quarter more, but at most the time until the deadline, when a request ends in any case. Where no request has ended, the target latency counts while the balancer still routes callers here, and the deadline later. Streams are judged as before. A rejected caller gets 503 (not run) with Retry-After.

--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -18,6 +18,7 @@
 import { EndpointPauses } from "./budgets/endpointPauses.js";
 import { type RetryLimits, SharedRetryBudget } from "./budgets/sharedRetryBudget.js";
 import { ActiveConfiguration } from "./configuration/activeConfiguration.js";
+import { AnswerDurations } from "./forwarding/answerDurations.js";
 import { Forwarder } from "./forwarding/forwarder.js";
 import type { PlannedStop } from "./forwarding/forwardingDependencies.js";
 import { EndpointDirectory, type KnownEndpoint } from "./membership/endpointDirectory.js";
@@ -392,6 +393,7 @@
                 isAmongFirst: (count, task) => this.membership.isAmongFirst(count, task),
             }),
             metrics: this.metrics,
+            answerDurations: new AnswerDurations(clock),
             entryId: self.id,
             dataCentre,
             isStoreReachable: dependencies.isStoreReachable,
--- a/src/core/forwarding/endpointSearch.ts
+++ b/src/core/forwarding/endpointSearch.ts
@@ -10,6 +10,7 @@
 import { canMemoryBecomeFree, isInTimeAfterWait, mayHaveToWait } from "../waiting/waitPolicy.js";
 import {
     busyRetrySeconds,
+    type ExpectedDuration,
     type Rejection,
     rejectLateFirstEvent,
     rejectUnfinishedAtStop,
@@ -184,10 +185,22 @@
             return undefined;
         }
         const stop = attempts.countedAttempts === 0 ? dependencies.plannedStop() : undefined;
-        return (stop && rejectUnfinishedAtStop(whole, dependencies.clock.now(), stop))
+        return (stop && rejectUnfinishedAtStop(this.expectDuration(whole), dependencies.clock.now(), stop))
             ?? rejectLateFirstEvent(admission.route, firstEvent, patienceLeft);
     }
 
+    private expectDuration(predicted: Milliseconds): ExpectedDuration {
+        const { dependencies, admission: { route, service }, timeLeft } = this.progress;
+        return service.engine
+            ? { type: "Predicted", duration: predicted }
+            : {
+                type: "Observed",
+                target: predicted,
+                longest: dependencies.answerDurations.longest(route.name),
+                timeLeft,
+            };
+    }
+
     /**
      * Whether the first event would still arrive within the patience of the caller if the request were sent after one more
      * delay.
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -60,7 +60,7 @@
     }
 
     private async forward(exchange: CallerExchange): Promise<void> {
-        const { configuration, directory, random, retryBudget, metrics } = this.dependencies;
+        const { clock, configuration, directory, random, retryBudget, metrics, answerDurations } = this.dependencies;
         await this.waitUntilReady(exchange);
         const admission = admit(exchange.head, configuration.routes, random);
         if (!directory.isReady) {
@@ -76,6 +76,7 @@
         }
         const request = { ...exchange.head, body, memory: exchange.memory };
         const task = new RequestTask(this.dependencies, exchange, request, admission);
+        const startedAt = clock.now();
         this.tasks.add(task);
         try {
             await task.run();
@@ -83,6 +84,7 @@
         finally {
             this.tasks.delete(task);
         }
+        answerDurations.record(admission.route.name, clock.now() - startedAt);
     }
 
     /**
--- a/src/core/forwarding/forwardingDependencies.ts
+++ b/src/core/forwarding/forwardingDependencies.ts
@@ -25,6 +25,7 @@
 import type { LossReports } from "../reachability/lossReports.js";
 import type { StandstillProbes } from "../reachability/standstillProbes.js";
 import type { SchedulingPolicy } from "../scheduling/schedulingPolicy.js";
+import type { AnswerDurations } from "./answerDurations.js";
 
 /** A planned stop of this entry. Times are on the local clock. */
 export interface PlannedStop {
@@ -63,6 +64,7 @@
     quarantineLoaded: Promise<void>;
     partTrials: PartTrials;
     metrics: Metrics;
+    answerDurations: AnswerDurations;
     /** Identifier of this entry. */
     entryId: string;
     dataCentre: string;
--- a/src/core/forwarding/overload.ts
+++ b/src/core/forwarding/overload.ts
@@ -4,6 +4,7 @@
  * Load pattern: more requests arrive than the endpoints can serve, or this entry is about to stop. A request that its caller
  * would give up only delays others, and a caller that is rejected at once can retry in time.
  */
+import { match } from "ts-pattern";
 import { RequestKind, type Route } from "../../types/routing.js";
 import type { Milliseconds } from "../../utils/clock.js";
 import type { Random } from "../../utils/random.js";
@@ -41,6 +42,8 @@
  */
 const earlyStopPredictionFactor = 1;
 const lateStopPredictionFactor = 2;
+/** Safety factor on the longest duration that was seen. */
+const longestDurationFactor = 1.25;
 
 /** Why a request is rejected, and when its caller should retry. */
 export interface Rejection {
@@ -59,20 +62,31 @@
         )
         : route.timeout;
 
+/** What is known of how long a request will take. */
+export type ExpectedDuration =
+    | { type: "Predicted"; duration: Milliseconds; }
+    | {
+        /** The service has no engine whose speed would be known. */
+        type: "Observed";
+        target: Milliseconds;
+        /** The longest recent duration on its route; undefined where no request has ended there. */
+        longest: Milliseconds | undefined;
+        /** Time until its deadline, when it ends in any case. */
+        timeLeft: Milliseconds;
+    };
+
 /**
  * Rejects a request that would not end before this entry stops. A stopping entry still receives requests when all entries of
  * its data centre stop and the balancer knows no other. Such a request would be cut midway, while a caller that is rejected at
  * once finds another entry.
  */
 export const rejectUnfinishedAtStop = (
-    predictedDuration: Milliseconds,
+    expected: ExpectedDuration,
     now: Milliseconds,
     stop: PlannedStop,
 ): Rejection | undefined => {
-    const predictionFactor = now - stop.startedAt < balancerReactionTime
-        ? earlyStopPredictionFactor
-        : lateStopPredictionFactor;
-    return now + predictionFactor * predictedDuration > stop.endsAt
+    const isLate = now - stop.startedAt >= balancerReactionTime;
+    return now + durationAtStop(expected, isLate) > stop.endsAt
         ? {
             kind: FailureKind.Stopping,
             detail: "this entry stops before the response would be complete",
@@ -89,6 +103,19 @@
         : new RequestFailure(FailureKind.Stopping, Execution.NotRun, detail, stoppingRetrySeconds);
 };
 
+const durationAtStop = (expected: ExpectedDuration, isLate: boolean): Milliseconds => {
+    const predictionFactor = isLate ? lateStopPredictionFactor : earlyStopPredictionFactor;
+    return match(expected)
+        .with({ type: "Predicted" }, ({ duration }) => predictionFactor * duration)
+        .with({ type: "Observed" }, ({ target, longest, timeLeft }) => {
+            if (longest === undefined) {
+                return isLate ? timeLeft : Math.min(target, timeLeft);
+            }
+            return Math.min(Math.max(predictionFactor * target, longestDurationFactor * longest), timeLeft);
+        })
+        .exhaustive();
+};
+
 /**
  * Rejects a stream whose first event would arrive after its caller gives up. The caller should retry once the work that it
  * would have waited for is done.
