A stream over HTTP/1.0 that is cut ends with a reset

A caller that speaks HTTP/1.0 saw a stream that ended early as complete: its body has no length and no chunks and ends with its connection. The entry reset the connection only where the contract for slow readers bounds what it buffers; otherwise it closed the connection in the ordinary way, after a cut by the endpoint and at its own end.

Evidence: both tests of HTTP/1.0 in handover.test.ts, failed before (the connection ended without an error).

A response to HTTP/1.0 that is cut always resets its connection now, also when the entry closes.

--- a/__tests__/forwarding/handover.test.ts
+++ b/__tests__/forwarding/handover.test.ts
@@ -5,7 +5,7 @@
 import { LingeringCloser } from "../../src/adapters/forwarding/lingeringClose.js";
 import { splitAddress } from "../../src/utils/address.js";
 import { systemClock } from "../../src/utils/clock.js";
-import { callerKey, operatorConfiguration, Site, until } from "./support/site.js";
+import { callerKey, generation, operatorConfiguration, Site, type SiteEntry, until } from "./support/site.js";
 
 const megabyte = 1024 * 1024;
 const bodyBytes = 16 * megabyte;
@@ -219,6 +219,41 @@
     expect(caller.text).toMatch(/"execution":"not-run".*\}$/);
 });
 
+const cutStream = async (cut: (entry: SiteEntry, replicaSocket: Socket) => void): Promise<RawCaller> => {
+    const { callers, entry, ...rest } = await site.start("entry-1");
+    const replica = await site.replica("m-1", "models");
+    let replicaSocket: Socket | undefined;
+    replica.fault = ({ id }, response, ...[, socket]) => {
+        replicaSocket = socket;
+        response.writeHead(200, { ...replica.responseHeaders(id), "content-type": "text/event-stream" });
+        response.write("id: 1\ndata: a\n\n");
+        return true;
+    };
+    await until(() => entry.directory.get("m-1") !== undefined);
+    const caller = await RawCaller.connect(callers);
+    const lines = [
+        "Content-Length: 0",
+        ...Object.entries(generation(10, 10)).map(([name, value]) => `${name}: ${value}`),
+    ];
+    caller.socket.write(requestHead("a", "/once/a", lines).replace("HTTP/1.1", "HTTP/1.0"));
+    await until(() => caller.text.includes("data: a"));
+    cut({ callers, entry, ...rest }, replicaSocket!);
+    await caller.closed;
+    return caller;
+};
+
+test("stream of HTTP/1.0 that its endpoint cuts ends with a reset", async () => {
+    // Guards against a stream that looks complete, as it ends with its connection.
+    const caller = await cutStream((...[, socket]) => socket.resetAndDestroy());
+    expect(caller.error).toBe("ECONNRESET");
+});
+
+test("stream of HTTP/1.0 that the end of the entry cuts ends with a reset", async () => {
+    // Guards against the same.
+    const caller = await cutStream(({ entry }) => void entry.close());
+    expect(caller.error).toBe("ECONNRESET");
+});
+
 /** Closes connections after a rejection, as the entry does. */
 const listenAndReject = async (): Promise<net.Server> => {
     const closer = new LingeringCloser(systemClock);
--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -81,6 +81,13 @@
         }
     }
 
+    /** Resets the connection if a response in progress may have no frame. After an ordinary close, it would look complete. */
+    resetIfUnframed(): void {
+        if (this.newest?.request.httpVersionMinor === 0) {
+            this.socket.resetAndDestroy();
+        }
+    }
+
     private recordEnded(response: ServerResponse): void {
         this.openResponses.delete(response);
         this.bytesReadWhenIdle = this.socket.bytesRead;
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -110,6 +110,9 @@
     close(): Promise<void> {
         return new Promise(resolve => {
             this.server.close(() => resolve());
+            for (const connection of this.connectionBySocket.values()) {
+                connection.resetIfUnframed();
+            }
             this.server.closeAllConnections();
         });
     }
@@ -255,9 +258,7 @@
     }
 
     abortStream(): void {
-        this.afterQueued(() =>
-            this.writer && this.request.httpVersionMinor === 0 ? this.reset() : this.response.destroy()
-        );
+        this.afterQueued(() => this.request.httpVersionMinor === 0 ? this.reset() : this.response.destroy());
     }
 
     /** Stops counting the body, which no attempt needs any more. */
