Requests that the end of a stop cuts are logged and counted one by one

A caller lost its connection at the end of a stop, and the log told only how many requests were active. The new test in stop.test.ts asks for lines that didn't exist before.

--- a/__tests__/forwarding/stop.test.ts
+++ b/__tests__/forwarding/stop.test.ts
@@ -145,3 +145,36 @@
     expect(JSON.parse((await answer).body)).toMatchObject({ execution: "unknown" });
     await stopped;
 });
+
+test("requests that the end of a stop ends or cuts are logged", async () => {
+    // Guards against a caller without an answer of whom no line of the log tells.
+    site.configure(2, { places: { timeout_ms: 20_000 }, lookups: { timeout_ms: 20_000 } });
+    const size = 16 * 1024 * 1024;
+    const replica = site.replicas.get("i-1")!;
+    replica.fault = ({ id }, response) => {
+        if (id === "unread") {
+            response.writeHead(200, { ...replica.responseHeaders(id), "content-length": size }).end(Buffer.alloc(size));
+        }
+        return true;
+    };
+    const { entry, callers } = await site.start("entry-1");
+    const silent = call(callers, "/places/a", { id: "silent", headers: { "dandelionramp-deadline-ms": "20000" } });
+    const { host, port } = splitAddress(callers);
+    const headers = {
+        host: "desk.example",
+        "dandelionramp-request-id": "unread",
+        authorization: `Bearer ${callerKey}`,
+    };
+    const [unread] = await once(http.get({ host, port, path: "/lookups/a", headers }), "response") as [
+        http.IncomingMessage,
+    ];
+    unread.on("error", () => {}).pause();
+    await until(() => replica.arrivals.length === 2);
+    await entry.stop();
+    expect(await silent).toMatchObject({ status: 502, whole: true });
+    const ended = site.lines.filter(({ message }) => / is (cut|ended) by the end of the stop/.test(message));
+    expect(ended.map(({ fields }) => fields)).toEqual([
+        { requestId: "silent", elapsed: expect.any(Number) as number, waitsFor: "the answer of i-1" },
+        { requestId: "unread", unwrittenBytes: expect.any(Number) as number },
+    ]);
+});
--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -81,6 +81,16 @@
         }
     }
 
+    /** The newest request, unless the system has taken over its response completely. */
+    get requestInProgress(): IncomingMessage | undefined {
+        return this.newest?.request;
+    }
+
+    /** Bytes of responses that the system hasn't taken over. */
+    get unwrittenBytes(): number {
+        return this.socket.writableLength;
+    }
+
     /** Resets the connection if a response in progress may have no frame. After an ordinary close, it would look complete. */
     resetIfUnframed(): void {
         if (this.newest?.request.httpVersionMinor === 0) {
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -106,6 +106,19 @@
         }
     }
 
+    /** Logs the requests whose callers haven't read the whole response. */
+    logUnread(): void {
+        for (const { requestInProgress, unwrittenBytes } of this.connectionBySocket.values()) {
+            const requestId = requestInProgress && this.dependencies.wire.readRequest(requestInProgress.rawHeaders).id;
+            if (requestId !== undefined) {
+                this.dependencies.log.warn("A response that its caller still reads is cut by the end of the stop.", {
+                    requestId,
+                    unwrittenBytes,
+                });
+            }
+        }
+    }
+
     /** Stops listening and closes all connections, including those with requests in progress. */
     close(): Promise<void> {
         return new Promise(resolve => {
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -295,14 +295,14 @@
         this.log.info("The entry is stopping.", { active: this.core.forwarder.activeCount });
         await clock.sleep(Math.min(minimumDrainDuration, endsAt - startedAt));
         await this.drain(endsAt);
+        const { forwarder } = this.core;
         this.log.info("The entry has stopped.", {
-            active: this.core.forwarder.activeCount,
+            active: forwarder.activeCount,
             took: clock.now() - startedAt,
         });
-        if (this.core.forwarder.activeCount > 0) {
-            this.core.forwarder.endAtStop();
-            await this.drain(endsAt + lastAnswersDuration);
-        }
+        forwarder.endAtStop();
+        await this.drain(endsAt + lastAnswersDuration);
+        this.callerPort.logUnread();
         await this.close();
     }
 
--- a/src/core/forwarding/forwarder.ts
+++ b/src/core/forwarding/forwarder.ts
@@ -15,9 +15,8 @@
 
 /** Serves the exchanges of callers. */
 export class Forwarder {
-    private readonly requestIdByExchange = new Map<CallerExchange, string>();
-    /** Requests whose bodies have been read. */
-    private readonly tasks = new Set<RequestTask>();
+    /** The requests in progress; without a task until the body has been read. */
+    private readonly taskByExchange = new Map<CallerExchange, RequestTask | undefined>();
     private hasStopped = false;
 
     constructor(private readonly dependencies: ForwardingDependencies) {}
@@ -29,25 +28,32 @@
 
     /** Number of requests in progress. */
     get activeCount(): number {
-        return this.requestIdByExchange.size;
+        return this.taskByExchange.size;
     }
 
     /** Identifiers of the requests in progress. */
     get activeRequestIds(): string[] {
-        return [...this.requestIdByExchange.values()];
+        return Array.from(this.taskByExchange.keys(), ({ head }) => head.id);
     }
 
     /** Ends the requests in progress because this entry has stopped. Callers whose responses haven't begun get a failure. */
     endAtStop(): void {
+        const { clock, log, metrics } = this.dependencies;
         this.hasStopped = true;
-        for (const task of this.tasks) {
-            task.endAtStop();
+        for (const [{ head }, task] of this.taskByExchange) {
+            metrics.count("requests_ended_at_stop_total");
+            log.warn("A request is ended by the end of the stop.", {
+                requestId: head.id,
+                elapsed: Math.round(clock.now() - head.arrivedAt),
+                waitsFor: task?.waitsFor ?? "the body of the request",
+            });
+            task?.endAtStop();
         }
     }
 
     /** Serves one request to its end. Never rejects. */
     async serve(exchange: CallerExchange): Promise<void> {
-        this.requestIdByExchange.set(exchange, exchange.head.id);
+        this.taskByExchange.set(exchange, undefined);
         try {
             await this.forward(exchange);
         }
@@ -55,7 +61,7 @@
             this.handleError(exchange, error);
         }
         finally {
-            this.requestIdByExchange.delete(exchange);
+            this.taskByExchange.delete(exchange);
         }
     }
 
@@ -77,13 +83,8 @@
         const request = { ...exchange.head, body, memory: exchange.memory };
         const task = new RequestTask(this.dependencies, exchange, request, admission);
         const startedAt = clock.now();
-        this.tasks.add(task);
-        try {
-            await task.run();
-        }
-        finally {
-            this.tasks.delete(task);
-        }
+        this.taskByExchange.set(exchange, task);
+        await task.run();
         answerDurations.record(admission.route.name, clock.now() - startedAt);
     }
 
--- a/src/core/forwarding/requestTask.ts
+++ b/src/core/forwarding/requestTask.ts
@@ -99,6 +99,15 @@
         this.failures = new AttemptFailures(this.progress, this.quarantineGate);
     }
 
+    /** What the request waits for, for the log. */
+    get waitsFor(): string {
+        const endpoint = this.running?.endpoint.record.id;
+        if (endpoint === undefined) {
+            return "an endpoint";
+        }
+        return this.progress.relay.hasStarted ? `further events of ${endpoint}` : `the answer of ${endpoint}`;
+    }
+
     /** Runs the request to its end. Throws {@link RequestFailure} when there is no response for the caller. */
     async run(): Promise<void> {
         const end = () => this.progress.end();
