A request that Node can't send on puts no endpoint into back-off

Callers saw: 503 for sound requests of other callers, for half a second at a time, after one caller sent an odd header.

Cause: Node's parser accepts a header without a name, a space in or behind a name, and a tab in the target, but throws when such a request is to be sent. That counted as an endpoint that can't be reached: it went into back-off, which is reported to the other entries, and the request was tried on the next endpoint. A request of one caller so acts on the endpoints of all.

Evidence: four such requests each put the only endpoint of the test into back-off and were answered 503 ("no endpoint of bookings is usable"); all four new tests failed in that way. Of 25 other odd header lines and targets none had this effect.

--- a/__tests__/forwarding/badRequests.test.ts
+++ b/__tests__/forwarding/badRequests.test.ts
@@ -104,6 +104,19 @@
     expect(text).toMatch(/^HTTP\/1.1 400 /);
 });
 
+const unsendable: Record<string, string> = {
+    "a header without a name": head([": a", "Content-Length: 0"]),
+    "a space in the name of a header": head(["X A: b", "Content-Length: 0"]),
+    "a space behind the name of a header": head(["X-A : b", "Content-Length: 0"]),
+    "a tab in its target": head(["Content-Length: 0"]).replace("/lookups/a", "/lookups/\ta"),
+};
+
+test.each(Object.entries(unsendable))("request with %s harms no endpoint", async (...[, text]) => {
+    // Guards against endpoints in back-off at all entries because a caller sent what Node accepts and doesn't send on.
+    expect(await sendRaw(entry.callers, text, 500)).toMatch(/^HTTP\/1.1 400 /);
+    expect(site.lines.filter(({ message }) => message.includes("back-off"))).toEqual([]);
+});
+
 test("no configuration yet", async () => {
     // An entry that has just started has no routes. A 404 or 401 would tell callers that their route or key no longer exists.
     const bare = new Site();
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -11,7 +11,7 @@
 import { BodyStoppedError, BodyTooSlowError, collectBody } from "../../utils/bodies.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { BodyTooLargeError, DandelionrampError, describeError } from "../../utils/errors.js";
-import { headerBytes } from "../../utils/headers.js";
+import { haveValidNames, headerBytes } from "../../utils/headers.js";
 import { endWithInternalError } from "../../utils/httpServer.js";
 import type { PartLog } from "../../utils/log.js";
 import { abortQuietly } from "../../utils/signal.js";
@@ -32,6 +32,8 @@
 /** Idle connections stay open this much longer than the configured timeout, for requests in flight when it expires. */
 const keepAliveMargin: Milliseconds = 1_000;
 const requestLineOverheadBytes = 16;
+/** Targets that Node sends; it also receives others, and an endpoint that they can't be sent to would look unreachable. */
+const targetPattern = /^[\x21-\xff]+$/;
 
 /** Dependencies of {@link CallerPort}. */
 export interface CallerPortDependencies {
@@ -173,6 +175,11 @@
             exchange.reject(new RequestFailure(FailureKind.HeadersTooLarge, Execution.NotRun, detail));
             return undefined;
         }
+        if (!targetPattern.test(head.target) || !haveValidNames(request.rawHeaders)) {
+            const detail = "the target or the name of a header is invalid";
+            exchange.reject(new RequestFailure(FailureKind.BadRequest, Execution.NotRun, detail));
+            return undefined;
+        }
         if (id === undefined) {
             const detail = "expected exactly one request identifier header";
             exchange.reject(new RequestFailure(FailureKind.BadRequest, Execution.NotRun, detail));
--- a/src/utils/headers.ts
+++ b/src/utils/headers.ts
@@ -14,6 +14,18 @@
     "upgrade",
 ]);
 
+const namePattern = /^[\w!#$%&'*+.^`|~-]+$/;
+
+/** Whether each header has a valid name. Node also receives empty names and names with spaces, and throws when it sends them. */
+export const haveValidNames = (headers: readonly string[]): boolean => {
+    for (let index = 0; index < headers.length; index += 2) {
+        if (!namePattern.test(headers[index]!)) {
+            return false;
+        }
+    }
+    return true;
+};
+
 /** Value of the first header called `name` (in lower case), or undefined. */
 export const headerValue = (headers: readonly string[], name: string): string | undefined => {
     for (let index = 0; index + 1 < headers.length; index += 2) {
