A response head that Node can't send on is a failed attempt

Callers saw: 500 "internal" for a look-up that another replica would have answered.

Cause: Node's parser accepts the statuses 000 to 099 and a header without a name, and throws when they are to be sent to the caller. The attempt counted as answered by then.

Evidence: of 35 odd response heads of a replica, sent for look-ups and bookings by POST and HEAD, these three made writeHead throw ("Invalid status code: 0", "Header name must be a valid HTTP token"); each caller still got an answer, and no exception was left unhandled. A refusal with such a header stays a refusal.

--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -20,6 +20,7 @@
 import { splitAddress } from "../../utils/address.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { describeError, isConnectionRefused } from "../../utils/errors.js";
+import { haveValidNames } from "../../utils/headers.js";
 import { misdirectedRequestStatus } from "../../utils/httpStatus.js";
 import { createUnlessInvalid } from "../../utils/invalidArguments.js";
 import { cancelOnAbort } from "../../utils/requestCancellation.js";
@@ -327,6 +328,11 @@
             });
             return;
         }
+        if (status < lowestFinalStatus || !haveValidNames(response.rawHeaders)) {
+            request.destroy();
+            this.settle({ type: "Broken", reason: "the head of the response is invalid" });
+            return;
+        }
         if (isSuccess(status) && (!facts.isSigned || facts.isEncoded)) {
             request.destroy();
             this.settle({
@@ -351,11 +357,6 @@
             });
             return;
         }
-        if (status < lowestFinalStatus) {
-            request.destroy();
-            this.settle({ type: "Broken", reason: `status ${status} is none of HTTP` });
-            return;
-        }
         if (announcesForbiddenBody(response)) {
             request.destroy();
             this.settle({ type: "Broken", reason: `a response with status ${status} has a body` });
