Odd objects among the listed entries cost no datagrams

What callers saw: nothing yet; processor time. Another writer had left objects among the entries whose addresses can't be sent to. Each entry sent, or looked up the host name, for each of them at every heartbeat.

Cause: any text counted as an entry's address, and any name as its identifier. A name that holds half a surrogate pair also failed the removal of all entries that are gone, again each second.

--- a/__tests__/forwarding/oddObjects.test.ts
+++ b/__tests__/forwarding/oddObjects.test.ts
@@ -63,6 +63,21 @@
     expect(entry.entry.configuration.version).toBe(2);
 });
 
+test("entries whose addresses nothing can be sent to", async () => {
+    // Guards against datagrams, and look-ups of host names, for each of them at every heartbeat.
+    const addresses = ["127.0.0.1:65536", "127.0.0.1:0", "no-host:80", "", `127.0.0.1:${"9".repeat(400)}`, 5];
+    writeOdd("entries", 300, index => `e-${index}`, index => ({ address: addresses[index % addresses.length] }));
+    writeOdd("entries", 20, index => `f-${index}\ud800`, () => ({ address: "127.0.0.1:9" }));
+    const first = await site.start("entry-1");
+    const second = await site.start("entry-2");
+    await until(() => first.entry.livingCount === 2 && second.entry.livingCount === 2);
+    await expectFollowing([first, second]);
+    expect(site.lines.filter(({ message }) => message.startsWith("peers: A datagram"))).toEqual([]);
+    const { items } = await new StoreClient(first.door.address, systemClock)
+        .list(StateKind.Entries, AbortSignal.timeout(5_000));
+    expect(items.flatMap(({ name, value }) => value ? [name] : [])).toEqual(["entry-1", "entry-2"]);
+});
+
 /** A store that answers each call with the text that `respond` returns for its path. */
 const startStore = async (respond: (target: string) => string): Promise<Listener> =>
     await listen("127.0.0.1:0", (request, response) => {
