An endpoint that served a prompt behind another entry clears the prompt's parts

Callers of an entry that lost its links, whose prompts share a part with one that crashed endpoints, were refused (503) between trials for longer than those of other entries: a short answer that another entry carried cleared no part, so the part stayed suspect and each further prompt with it was a trial.

Cause: where parts are suspect, QuarantineGate checks after a short answer whether the endpoint still accepts connections, over this entry's own link. With that lost the result was LinkLost, never Accepting. The check goes over the path of the attempt now.

suspectParts.test.ts, "prompt that an endpoint served behind another entry clears its parts", failed before: two trials instead of one.

--- a/__tests__/forwarding/suspectParts.test.ts
+++ b/__tests__/forwarding/suspectParts.test.ts
@@ -4,6 +4,7 @@
 import type { ReplicaServer } from "../../platform/standins/replicaServer.js";
 import { survivalDuration } from "../../src/core/quarantine/partSurvivals.js";
 import { systemClock } from "../../src/utils/clock.js";
+import { CutEndpointPort } from "./support/cutEndpointPort.js";
 import { call, type CallerResponse, generation, Site, type SiteEntry, until } from "./support/site.js";
 
 let site: Site;
@@ -112,6 +113,25 @@
     await until(() => site.store.model.list("quarantined", "", 10).objects.length === 1);
 });
 
+test("prompt that an endpoint served behind another entry clears its parts", async () => {
+    // Guards against sound requests that are refused for longer at an entry that lost its links.
+    const links = new CutEndpointPort();
+    const cut = await site.start("cut", true, { endpointPort: links, seeds: [entry.peers] });
+    await until(() => site.entries.every(({ entry: { livingCount } }) => livingCount === 2));
+    onBrokenPart(Reaction.Crash);
+    await crash(3);
+    links.isCut = true;
+    entry = cut;
+    const trialCount = () => linesWith("suspect parts is tried").filter(line => line.entry === "cut").length;
+    for (let count = 0; count < 50 && trialCount() === 0; count++) {
+        await callWithParts("1234:800");
+    }
+    expect(trialCount()).toBe(1);
+    await systemClock.sleep(survivalDuration + 500);
+    expect((await callWithParts("1234:800")).status).toBe(200);
+    expect(trialCount()).toBe(1);
+});
+
 test("failure of an endpoint without a stream clears no part", async () => {
     // Guards against a part that returns to service because an endpoint refused the request before it wrote anything.
     onBrokenPart(Reaction.Crash);
--- a/src/core/forwarding/quarantineGate.ts
+++ b/src/core/forwarding/quarantineGate.ts
@@ -125,7 +125,7 @@
         const { quarantine, endpointChecker } = this.progress.dependencies;
         const endpoint = attempt.endpoint.record;
         const isSuspect = quarantine.suspectParts(this.progress.request.sharedParts) !== undefined;
-        const condition = isSuspect ? await endpointChecker.check(endpoint) : EndpointCondition.Accepting;
+        const condition = isSuspect ? await endpointChecker.check(endpoint, attempt.path) : EndpointCondition.Accepting;
         if (condition === EndpointCondition.Accepting && !quarantine.hasCrashed(endpoint)) {
             this.recordSurvived(attempt);
         }
