A negative idle timeout of a configuration throws behind no response

Callers saw: all connections of an entry are reset right after one response, also those of bookings that run, at each entry that follows the configuration and again after each restart, as long as an exception ended the process.

Cause: Node throws for a negative keep-alive timeout when it sets the timer of a connection whose response has ended, in a listener of its own. The value of the configuration was taken over as it is. Since exceptions no longer end the process it was one exception for each response.

The test ended with "RangeError: The value of "msecs" is out of range" and without "Keep-Alive: timeout=1"; now the value counts as 0, plus the margin.

--- a/__tests__/forwarding/oddRequests.test.ts
+++ b/__tests__/forwarding/oddRequests.test.ts
@@ -1,6 +1,6 @@
 /** Odd requests, and what callers send beside requests: each request that was accepted gets its own answer. */
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { callerKey, sendRaw, Site, type SiteEntry } from "./support/site.js";
+import { callerKey, operatorConfiguration, sendRaw, Site, type SiteEntry } from "./support/site.js";
 
 const closeAfter = 4_000;
 /** Longer than the header timeout of the site, and than Node takes to notice it. */
@@ -78,3 +78,14 @@
     expect(answersIn(await sendRaw(entry.readiness, tunnel))).toEqual(["405"]);
     expect(answersIn(await sendRaw(entry.metrics, tunnel))).toEqual(["405"]);
 });
+
+test("negative idle timeout of a configuration is none", async () => {
+    // Guards against an exception behind each response, which ended the process, because of one odd value of a configuration.
+    const configuration = operatorConfiguration(2, { places: { timeout_ms: 10_000 } });
+    const limits = { ...configuration.limits, idle_timeout_ms: -5_000 };
+    site.store.model.put("config", "main", { ...configuration, limits });
+    await expect.poll(() => entry.entry.configuration.version).toBe(2);
+    const text = await sendRaw(entry.callers, head("first", ["Content-Length: 0"]), closeAfter);
+    expect(answersIn(text)).toEqual(["200 first"]);
+    expect(text).toContain("\r\nKeep-Alive: timeout=1\r\n");
+});
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -90,7 +90,7 @@
     applyLimits(routes: RouteTable): void {
         const { headerTimeout, idleTimeout } = routes.configuration.limits;
         this.server.headersTimeout = headerTimeout;
-        this.server.keepAliveTimeout = idleTimeout + keepAliveMargin;
+        this.server.keepAliveTimeout = Math.max(0, idleTimeout) + keepAliveMargin;
     }
 
     /** Number of open connections. */
