--- a/__tests__/forwarding/oddObjects.test.ts
+++ b/__tests__/forwarding/oddObjects.test.ts
@@ -1,5 +1,7 @@
 /** Objects of another writer in the store, many at once, beside those that entries follow. */
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { CrashObjects } from "../../platform/crashObjects.js";
+import { QuarantineObjects } from "../../platform/quarantineObjects.js";
 import { StoreClient } from "../../platform/storeClient.js";
 import { StateKind } from "../../src/ports/statePort.js";
 import { systemClock } from "../../src/utils/clock.js";
@@ -78,6 +80,22 @@
     expect(items.flatMap(({ name, value }) => value ? [name] : [])).toEqual(["entry-1", "entry-2"]);
 });
 
+test("stored crashes and quarantined requests behind pages of odd objects", async () => {
+    // Guards against a start after which a request that crashes endpoints is sent to more of them.
+    const { address } = await site.store.openListener();
+    const signal = AbortSignal.timeout(5_000);
+    const quarantine = { request: "request", crashes: [{ endpoint: "i-1", incarnation: 1 }], trialCount: 0 };
+    const report = { endpoint: "i-1", incarnation: 1, age: 5, requests: [{ request: "request", servedFor: 1 }] };
+    writeOdd("quarantined", 600, index => `0-${index}`, () => ({ request: 5 }));
+    writeOdd("crashes", 600, index => `0-${index}`, () => ({ crashes: { length: 1e308 } }));
+    const quarantineStore = new QuarantineObjects(address, systemClock);
+    const crashStore = new CrashObjects(address, systemClock);
+    await quarantineStore.create(quarantine, signal);
+    await crashStore.write({ entry: "entry-1", crashes: [report] }, signal);
+    expect(await quarantineStore.list(signal)).toEqual([quarantine]);
+    expect((await crashStore.list(signal)).items).toEqual([{ entry: "entry-1", crashes: [report] }]);
+});
+
 /** A store that answers each call with the text that `respond` returns for its path. */
 const startStore = async (respond: (target: string) => string): Promise<Listener> =>
     await listen("127.0.0.1:0", (request, response) => {
