One unreadable object no longer makes entries drop each other's updates

What callers saw: 503 of an entry that the store turned away: it never became ready, though other entries had all it needed. Another writer had left one object that can't be read among the endpoints. Entries that follow others rather than the store learned of no change either, and turned to the store one by one.

Cause: an unreadable object has no value, and JSON has no undefined, so its field is missing in what entries tell one another.

Evidence: oddObjects.test.ts > "entry without access to the store beside one unreadable object" failed before (not ready within 5 s).

Why the fix works: the field may be missing, which says what it says at the sender: the object defines nothing.

--- a/__tests__/forwarding/oddObjects.test.ts
+++ b/__tests__/forwarding/oddObjects.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { CrashObjects } from "../../platform/crashObjects.js";
 import { QuarantineObjects } from "../../platform/quarantineObjects.js";
+import { Refusal } from "../../platform/standins/storeServer.js";
 import { StoreClient } from "../../platform/storeClient.js";
 import { StateKind } from "../../src/ports/statePort.js";
 import { systemClock } from "../../src/utils/clock.js";
@@ -96,6 +97,17 @@
     expect((await crashStore.list(signal)).items).toEqual([{ entry: "entry-1", crashes: [report] }]);
 });
 
+test("entry without access to the store beside one unreadable object", async () => {
+    // Guards against updates of other entries that are dropped as a whole for one object in them.
+    writeOdd("servers", 1, () => "a", () => ({ service: 5 }));
+    const first = await site.start("entry-1");
+    const second = await site.start("entry-2", true, { seeds: [first.peers], refusal: Refusal.Busy });
+    writeOdd("servers", 1, () => "b", () => ({ service: 5 }));
+    await expectFollowing([first, second]);
+    const invalid = site.lines.filter(({ message }) => message === "peers: A datagram is invalid.");
+    expect(invalid).toEqual([]);
+});
+
 /** A store that answers each call with the text that `respond` returns for its path. */
 const startStore = async (respond: (target: string) => string): Promise<Listener> =>
     await listen("127.0.0.1:0", (request, response) => {
--- a/src/adapters/forwarding/peerSocket.ts
+++ b/src/adapters/forwarding/peerSocket.ts
@@ -72,7 +72,7 @@
     changes: z.array(z.object({
         name: z.string(),
         revision: z.number(),
-        value: z.unknown(),
+        value: z.unknown().optional(),
         removed: z.boolean(),
     })),
 });
--- a/src/adapters/forwarding/peerStateServer.ts
+++ b/src/adapters/forwarding/peerStateServer.ts
@@ -40,7 +40,7 @@
 });
 const memberQuerySchema = z.object({ format: z.literal(formatVersion), scope: z.enum(DigestScope) });
 const memberListSchema = z.object({ version: z.number(), members: z.array(memberStateSchema) });
-const itemSchema = z.object({ name: z.string(), revision: z.number(), value: z.unknown() });
+const itemSchema = z.object({ name: z.string(), revision: z.number(), value: z.unknown().optional() });
 const stateUpdateSchema = z.discriminatedUnion("type", [
     z.object({
         type: z.literal("Changes"),
