--- a/__tests__/forwarding/oddObjects.test.ts
+++ b/__tests__/forwarding/oddObjects.test.ts
@@ -162,3 +162,20 @@
     }
     await store.close();
 });
+
+test("events and objects without content", async () => {
+    // Guards against entries that stop following because of one event, and against an endpoint that stays after its removal.
+    const bare = (name: string) => ({ metadata: { name, revision: 3 } });
+    const events = [{ deleted: true }, { object: bare("i-1"), deleted: true }, { object: bare("i-2") }];
+    const store = await startStore(() =>
+        JSON.stringify({ events: [...events, { object: soundRecord("i-3") }], current_rev: 3 })
+    );
+    const { changes } = await new StoreClient(store.address, systemClock)
+        .watch(StateKind.Endpoints, 1, 100, AbortSignal.timeout(5_000));
+    expect(changes.map(({ name, value, removed }) => [name, value?.id, removed])).toEqual([
+        ["i-1", undefined, true],
+        ["i-2", undefined, false],
+        ["i-3", "i-3", false],
+    ]);
+    await store.close();
+});
