--- a/__tests__/forwarding/oddObjects.test.ts
+++ b/__tests__/forwarding/oddObjects.test.ts
@@ -26,6 +26,20 @@
     }
 };
 
+const soundRecord = (name: string) => ({
+    metadata: { name, revision: 2 },
+    spec: {
+        service: "bookings",
+        address: "127.0.0.1:80",
+        zone: "north-a",
+        version: 1,
+        slots: 1,
+        state: "ready",
+        cold_remaining_ms: 0,
+        sequence: 1,
+    },
+});
+
 const expectServed = async (entries: SiteEntry[]): Promise<void> => {
     const statuses = await Promise.all(
         entries.map(async ({ callers }) => (await call(callers, "/lookups/a", { method: "GET" })).status),
@@ -108,6 +122,15 @@
     expect(invalid).toEqual([]);
 });
 
+test("entry without access to the store beside records of 1 MB", async () => {
+    // Guards against records of another writer that are kept, and that entries tell one another.
+    const record = { ...soundRecord("").spec, state: "draining", zone: "z".repeat(1_000_000) };
+    writeOdd("servers", 40, index => `a-${index}`, () => record);
+    const first = await site.start("entry-1");
+    const second = await site.start("entry-2", true, { seeds: [first.peers], refusal: Refusal.Busy });
+    await expectFollowing([first, second]);
+});
+
 /** A store that answers each call with the text that `respond` returns for its path. */
 const startStore = async (respond: (target: string) => string): Promise<Listener> =>
     await listen("127.0.0.1:0", (request, response) => {
@@ -115,20 +138,6 @@
         return Promise.resolve();
     });
 
-const soundRecord = (name: string) => ({
-    metadata: { name, revision: 2 },
-    spec: {
-        service: "bookings",
-        address: "127.0.0.1:80",
-        zone: "north-a",
-        version: 1,
-        slots: 1,
-        state: "ready",
-        cold_remaining_ms: 0,
-        sequence: 1,
-    },
-});
-
 test("page with nothing but unreadable objects isn't the last one", async () => {
     // Guards against endpoints on later pages that count as gone.
     const store = await startStore(target =>
