Connections of CONNECT requests end with their rejection, and with the entry

Callers could see nothing of it; an entry kept the connection of a caller that left its side open after the rejection of a CONNECT request, and a stop waited for such connections: Node hands them over and closes them neither with their callers nor with its server. The two new tests of oddRequests.test.ts failed before the change.

--- a/__tests__/forwarding/oddRequests.test.ts
+++ b/__tests__/forwarding/oddRequests.test.ts
@@ -1,6 +1,8 @@
 /** Odd requests, and what callers send beside requests: each request that was accepted gets its own answer. */
+import net from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { callerKey, operatorConfiguration, sendRaw, Site, type SiteEntry } from "./support/site.js";
+import { splitAddress } from "../../src/utils/address.js";
+import { call, callerKey, operatorConfiguration, sendRaw, Site, type SiteEntry } from "./support/site.js";
 
 const closeAfter = 4_000;
 /** Longer than the header timeout of the site, and than Node takes to notice it. */
@@ -79,6 +81,31 @@
     expect(answersIn(await sendRaw(entry.metrics, tunnel))).toEqual(["405"]);
 });
 
+test.each(["GET\r\n\r\n", tunnel])(
+    "caller that keeps its side open after a rejection of %j holds no connection",
+    async bytes => {
+        // Guards against connections that pile up until no descriptor is left, and that delay a planned stop.
+        const socket = net.connect({ ...splitAddress(entry.callers), allowHalfOpen: true });
+        socket.write(bytes);
+        socket.resume();
+        await new Promise(resolve => socket.once("end", resolve));
+        const openConnections = async () => {
+            const { body } = await call(entry.metrics, "/metrics", { method: "GET" });
+            return Number(/caller_connections (\d+)/.exec(body)?.[1]);
+        };
+        await expect.poll(openConnections, { timeout: 5_000 }).toBe(0);
+        socket.destroy();
+    },
+);
+
+test("entry with a CONNECT request behind a request in progress can be closed", async () => {
+    // Guards against a stop that waits forever for a connection that Node has handed over.
+    const answers = sendRaw(entry.callers, booking + tunnel, closeAfter);
+    await expect.poll(() => site.replicas.get("i-1")!.arrivals.length).toBe(1);
+    await entry.entry.close();
+    expect(await answers).toBe("");
+});
+
 test("negative idle timeout of a configuration is none", async () => {
     // Guards against an exception behind each response, which ended the process, because of one odd value of a configuration.
     const configuration = operatorConfiguration(2, { places: { timeout_ms: 10_000 } });
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -125,10 +125,11 @@
     close(): Promise<void> {
         return new Promise(resolve => {
             this.server.close(() => resolve());
-            for (const connection of this.connectionBySocket.values()) {
+            // Node's own function leaves out the connections of CONNECT requests.
+            for (const [socket, connection] of this.connectionBySocket) {
                 connection.resetIfUnframed();
+                socket.destroy();
             }
-            this.server.closeAllConnections();
         });
     }
 
--- a/src/utils/httpServer.ts
+++ b/src/utils/httpServer.ts
@@ -60,8 +60,8 @@
 export const refuseTunnels = (server: http.Server): void => {
     server.on("connect", (...[, stream]) => {
         stream.on("error", () => {});
-        // The end of an unread connection isn't noticed.
-        stream.resume();
+        // Node no longer closes this connection, neither when its client does nor when the server closes.
+        stream.once("finish", () => stream.destroy());
         stream.end("HTTP/1.1 405 Method Not Allowed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     });
 };
