A stop lets new connections send their first request, and listens no longer at its end

A caller that connected to a stopping entry late in the stop got the end of its connection instead of an answer: 2.6 s after the signal each connection without a request was closed within 50 ms, a new one, too, whose first request was on its way. And the listener stayed open to the very end, so that connections were accepted and then cut.

Evidence: the new test in stop.test.ts failed before (no answer to a request 150 ms behind its connection).

A new connection has 500 ms for its first request now. The listener closes 0.3 s before the end of the grace period, or when nothing is in progress, and the entry ends when nothing accepted is left; a connection that is accepted while the listener closes is served.

--- a/__tests__/forwarding/stop.test.ts
+++ b/__tests__/forwarding/stop.test.ts
@@ -178,3 +178,33 @@
         { requestId: "unread", unwrittenBytes: expect.any(Number) as number },
     ]);
 });
+
+test("connection that is opened late in a stop gets the answer to its first request", async () => {
+    // Guards against a new connection that is closed as idle while its first request is on its way.
+    const { entry, callers } = await site.start("entry-1", true, { graceSeconds: 10 });
+    const replica = site.replicas.get("i-1")!;
+    replica.fault = ({ id }, response) => {
+        setTimeout(() => response.writeHead(200, replica.responseHeaders(id)).end(), id === "long" ? 3_400 : 0);
+        return true;
+    };
+    site.configure(2, { places: { timeout_ms: 5_000 } });
+    await until(() => entry.configuration.version === 2);
+    const long = call(callers, "/places/a", { id: "long", headers: { "dandelionramp-deadline-ms": "5000" } });
+    const stopped = entry.stop();
+    await systemClock.sleep(2_800);
+    const { host, port } = splitAddress(callers);
+    const socket = net.connect(port, host);
+    await once(socket, "connect");
+    const closed = new Promise(resolve => socket.once("close", resolve));
+    let text = "";
+    socket.on("data", (bytes: Buffer) => text += bytes.toString("latin1")).on("error", () => {});
+    await systemClock.sleep(150);
+    socket.write(
+        "POST /lookups/a HTTP/1.1\r\nHost: desk.example\r\nDandelionramp-Request-Id: late\r\n"
+            + `Authorization: Bearer ${callerKey}\r\nContent-Length: 0\r\n\r\n`,
+    );
+    await closed;
+    expect(text).toMatch(/^HTTP\/1.1 200 /);
+    expect((await long).status).toBe(200);
+    await stopped;
+});
--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -1,8 +1,12 @@
 /** The requests of one connection of a caller: which of them are served, and when the connection may be closed. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Clock, Milliseconds } from "../../utils/clock.js";
 import type { LingeringCloser } from "./lingeringClose.js";
 
+/** How long the first request of a new connection may be on its way. */
+const firstRequestTimeout: Milliseconds = 500;
+
 /** The connection of a caller. */
 export class CallerConnection {
     /** Responses that the system hasn't taken over completely, in the order of their requests. */
@@ -16,7 +20,14 @@
     /** Bytes that had arrived when the last response was complete. */
     private bytesReadWhenIdle = 0;
 
-    constructor(private readonly socket: Socket, private readonly closer: LingeringCloser) {
+    private readonly openedAt: Milliseconds;
+
+    constructor(
+        private readonly socket: Socket,
+        private readonly closer: LingeringCloser,
+        private readonly clock: Clock,
+    ) {
+        this.openedAt = clock.now();
         // Node calls this function after the last response of a connection.
         socket.destroySoon = () => closer.close(socket);
     }
@@ -72,13 +83,15 @@
         return true;
     }
 
-    /** Closes the connection unless a request arrives, is in progress, or its response is still being read. */
+    /** Closes the connection unless a request arrives, is in progress or expected, or its response is still being read. */
     closeIfIdle(): void {
-        const { socket } = this;
+        const { socket, clock, openedAt } = this;
         const isArriving = socket.bytesRead > this.bytesReadWhenIdle;
-        if (this.openResponses.size === 0 && !isArriving && socket.writableLength === 0) {
-            socket.destroy();
+        const isNew = socket.bytesRead === 0 && clock.now() - openedAt < firstRequestTimeout;
+        if (this.openResponses.size > 0 || isArriving || isNew || socket.writableLength > 0) {
+            return;
         }
+        socket.destroy();
     }
 
     /** The newest request, unless the system has taken over its response completely. */
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -1,6 +1,6 @@
 /** HTTP server for forwarded requests. Reads the requests of callers and writes their responses through Node's `http`. */
 import http from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import net, { type AddressInfo, type Socket } from "node:net";
 import type { RouteTable } from "../../core/configuration/routeTable.js";
 import { Execution, FailureKind, RequestFailure } from "../../core/failures.js";
 import { HeldKind } from "../../core/memoryBounds/heldBytes.js";
@@ -69,7 +69,7 @@
         this.server.on("clientError", (error, socket) => this.unparsedRequests.reject(error, socket as Socket));
         this.server.on("connect", (...[, stream]) => this.unparsedRequests.rejectTunnel(stream as Socket));
         this.server.on("connection", socket => {
-            this.connectionBySocket.set(socket, new CallerConnection(socket, this.closer));
+            this.connectionBySocket.set(socket, new CallerConnection(socket, this.closer, dependencies.clock));
             socket.once("close", () => this.connectionBySocket.delete(socket));
         });
     }
@@ -93,6 +93,12 @@
         this.server.keepAliveTimeout = Math.max(0, idleTimeout) + keepAliveMargin;
     }
 
+    /** Accepts no further connections; those that are open go on. */
+    stopListening(): void {
+        // The function of Node's HTTP server also closes idle connections, and those whose callers still read the response.
+        net.Server.prototype.close.call(this.server);
+    }
+
     /** Number of open connections. */
     get connectionCount(): number {
         return this.connectionBySocket.size;
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -46,6 +46,8 @@
 const drainPollInterval: Milliseconds = 50;
 /** How long the callers of requests that are still in progress at the end of a stop get to receive their failures. */
 const lastAnswersDuration: Milliseconds = 250;
+/** How long before the end of a stop no more connections are accepted, so that requests on them are answered before it. */
+const finalDuration: Milliseconds = 300;
 /**
  * How long an entry waits for its peers before it queries the store, when the whole site starts for the first time. No
  * caller is waiting yet, and the longer wait avoids calls to the store.
@@ -311,9 +313,10 @@
         const { clock } = this.dependencies;
         while (clock.now() < endsAt) {
             this.callerPort.closeIdleConnections();
-            const { forwarder, relayGuard } = this.core;
-            const connections = this.callerPort.connectionCount + relayGuard.openConnections;
-            if (forwarder.activeCount === 0 && connections === 0) {
+            if (this.isDrained || clock.now() >= endsAt - finalDuration) {
+                this.callerPort.stopListening();
+            }
+            if (this.isDrained) {
                 return;
             }
             await clock.sleep(drainPollInterval);
@@ -325,6 +328,12 @@
         await Promise.resolve(this.core.peers.publishStopping());
     }
 
+    /** Whether no request is in progress and no connection open, neither of a caller nor of another entry. */
+    private get isDrained(): boolean {
+        const { forwarder, relayGuard } = this.core;
+        return forwarder.activeCount === 0 && this.callerPort.connectionCount + relayGuard.openConnections === 0;
+    }
+
     /** Closes the entry at once and cuts the requests in progress. */
     async close(): Promise<void> {
         if (this.closeController.signal.aborted) {
