Kept connections that a stop closes as idle keep the end of a large answer

Callers that sent further bytes while they still read the answer before got it cut (2.1 MB of 2.5, 0.6 of 2.75) when a stop closed their kept connection: to the entry it was idle, as the operating system had taken the whole answer.

Where the last answer was larger than what a caller's system surely has received (16 KB), the connection is closed as after a last answer: the entry ends its side and discards what comes until the caller has closed its own. Others are closed at once, as before.

--- a/__tests__/forwarding/stop.test.ts
+++ b/__tests__/forwarding/stop.test.ts
@@ -208,3 +208,38 @@
     expect((await long).status).toBe(200);
     await stopped;
 });
+
+test("callers that send on while they read get the whole answers when their connections are closed as idle", async () => {
+    // Guards against a reset that drops the part of the answer that its caller hasn't received yet.
+    const sizes = [2.25, 2.5, 2.75, 2.25, 2.5, 2.75].map(megabytes => megabytes * 1024 * 1024);
+    const replica = site.replicas.get("i-1")!;
+    replica.fault = ({ id }, response) => {
+        const size = sizes[Number(id)]!;
+        response.writeHead(200, { ...replica.responseHeaders(id), "content-length": size }).end(Buffer.alloc(size));
+        return true;
+    };
+    const { entry, callers } = await site.start("entry-1", true, { graceSeconds: 10 });
+    const readSlowly = async (size: number, index: number): Promise<boolean> => {
+        const { host, port } = splitAddress(callers);
+        const socket = net.connect(port, host);
+        const closed = new Promise(resolve => socket.once("close", resolve));
+        let receivedBytes = 0;
+        socket.on("data", (bytes: Buffer) => receivedBytes += bytes.length).on("error", () => {});
+        socket.write(
+            `POST /lookups/a HTTP/1.1\r\nHost: desk.example\r\nDandelionramp-Request-Id: ${index}\r\n`
+                + `Authorization: Bearer ${callerKey}\r\nContent-Length: 0\r\n\r\n`,
+        );
+        await until(() => receivedBytes > 0);
+        socket.pause();
+        await systemClock.sleep(3_100);
+        socket.write("\r\n");
+        await systemClock.sleep(200);
+        socket.resume();
+        await closed;
+        return receivedBytes > size;
+    };
+    const reads = sizes.map(readSlowly);
+    await systemClock.sleep(300);
+    await entry.stop();
+    expect(await Promise.all(reads)).toEqual(sizes.map(() => true));
+});
--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -6,6 +6,8 @@
 
 /** How long the first request of a new connection may be on its way. */
 const firstRequestTimeout: Milliseconds = 500;
+/** The smallest usual receive buffer. Of larger responses, the operating system may still hold a part that the caller hasn't got. */
+const maximumReceivedBytes = 16 * 1024;
 
 /** The connection of a caller. */
 export class CallerConnection {
@@ -20,6 +22,8 @@
     /** Bytes that had arrived when the last response was complete. */
     private bytesReadWhenIdle = 0;
 
+    /** Bytes that had been sent when the newest request came. */
+    private bytesWrittenBefore = 0;
     private readonly openedAt: Milliseconds;
 
     constructor(
@@ -41,6 +45,7 @@
             return false;
         }
         this.newest = { request, response };
+        this.bytesWrittenBefore = this.socket.bytesWritten;
         this.openResponses.add(response);
         response.once("close", () => this.recordEnded(response));
         return true;
@@ -91,6 +96,10 @@
         if (this.openResponses.size > 0 || isArriving || isNew || socket.writableLength > 0) {
             return;
         }
+        if (socket.bytesWritten - this.bytesWrittenBefore > maximumReceivedBytes) {
+            this.closer.close(socket);
+            return;
+        }
         socket.destroy();
     }
 
