--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -36,7 +36,8 @@
     usual: undefined,
 };
 
-const toPlatformEngine = (engine: EngineProfile) => ({
+/** An engine in the format of the platform. */
+export const toPlatformEngine = (engine: EngineProfile) => ({
     slots: engine.slots,
     kv_capacity: engine.memoryTokens,
     step_ms: engine.stepTime,
