A stop no longer cuts connections that wait for callers who still send

Callers whose body was still on its way when a stopping entry rejected them got a reset in place of the rejection: the stop closed the connection as idle at its next check, 50 ms later at the most, although it waited for the caller to end its side.

Connections that wait for their callers are left to the bounds of that wait, 1 s of silence and 5 s in all, and the end of the stop.

--- a/__tests__/forwarding/stop.test.ts
+++ b/__tests__/forwarding/stop.test.ts
@@ -243,3 +243,37 @@
     await entry.stop();
     expect(await Promise.all(reads)).toEqual(sizes.map(() => true));
 });
+
+test("caller that still sends its body in a stop gets the rejection", async () => {
+    // Guards against a connection that is closed as idle, and so reset, while it waits for a caller that still sends.
+    const { entry, callers } = await site.start("entry-1", true, { graceSeconds: 10 });
+    const replica = site.replicas.get("i-1")!;
+    replica.fault = ({ id }, response) => {
+        setTimeout(() => response.writeHead(200, replica.responseHeaders(id)).end(), 4_000);
+        return true;
+    };
+    site.configure(2, { places: { timeout_ms: 6_000 } });
+    await until(() => entry.configuration.version === 2);
+    const long = call(callers, "/places/a", { id: "long", headers: { "dandelionramp-deadline-ms": "6000" } });
+    const stopped = entry.stop();
+    await systemClock.sleep(2_800);
+    const { host, port } = splitAddress(callers);
+    const socket = net.connect(port, host);
+    await once(socket, "connect");
+    const closed = new Promise(resolve => socket.once("close", resolve));
+    let text = "";
+    socket.on("data", (bytes: Buffer) => text += bytes.toString("latin1")).on("error", () => {}).pause();
+    socket.write(
+        "POST /lookups/a HTTP/1.1\r\nHost: desk.example\r\nDandelionramp-Request-Id: late\r\n"
+            + `Authorization: Bearer unknown\r\nContent-Length: 5000000\r\n\r\n`,
+    );
+    for (let sent = 0; sent < 4; sent++) {
+        await systemClock.sleep(120);
+        socket.write("x".repeat(1_000));
+    }
+    socket.resume();
+    await closed;
+    expect(text).toMatch(/^HTTP\/1.1 401 [^]*\}$/);
+    expect((await long).status).toBe(200);
+    await stopped;
+});
--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -93,7 +93,8 @@
         const { socket, clock, openedAt } = this;
         const isArriving = socket.bytesRead > this.bytesReadWhenIdle;
         const isNew = socket.bytesRead === 0 && clock.now() - openedAt < firstRequestTimeout;
-        if (this.openResponses.size > 0 || isArriving || isNew || socket.writableLength > 0) {
+        // A connection that waits for its caller to close, too, has bounds of its own.
+        if (this.isClosing || this.openResponses.size > 0 || isArriving || isNew || socket.writableLength > 0) {
             return;
         }
         if (socket.bytesWritten - this.bytesWrittenBefore > maximumReceivedBytes) {
