A stop waits for carried responses until the other entry has them

Evidence: the new test in carriedEnds.test.ts (no open connection counted beside 3 MB unread), failed before, passes now; so do the other tests of carried connections.

A carried connection counts as open until both of its sides are closed.

--- a/__tests__/forwarding/carriedEnds.test.ts
+++ b/__tests__/forwarding/carriedEnds.test.ts
@@ -3,6 +3,7 @@
 import http from "node:http";
 import type { Socket } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { connectByRelay } from "../../src/adapters/forwarding/relayConnection.js";
 import { FrameDecoder } from "../../src/adapters/forwarding/relayFrames.js";
 import { type ConnectionGuard, serveRelay } from "../../src/adapters/forwarding/relayServer.js";
 import { AttemptPath } from "../../src/core/reachability/attemptPath.js";
@@ -52,6 +53,27 @@
     await until(() => endpoint.sockets.size === 0 && guard.openConnections === 0);
 });
 
+test("carried connection counts as open until the other entry has read all of the response", async () => {
+    // Guards against a stop that resets the connection with the rest of a response that its endpoint has sent.
+    const length = 3 * 1024 * 1024;
+    endpoint = await startEndpoint(socket => socket.end(Buffer.alloc(length)));
+    const connection = await connectByRelay(systemClock, carrier.address, endpoint.record, 500);
+    if (connection.type === "Failed") {
+        throw new Error(connection.reason);
+    }
+    const { socket } = connection;
+    socket.pause();
+    socket.write("request-id: a\r\n");
+    await until(() => endpoint.connectionCount === 1 && endpoint.sockets.size === 0);
+    await systemClock.sleep(100);
+    expect(guard.openConnections).toBe(1);
+    let receivedBytes = 0;
+    socket.on("data", (bytes: Buffer) => receivedBytes += bytes.length);
+    socket.once("end", () => socket.destroy()).resume();
+    await until(() => guard.openConnections === 0);
+    expect(receivedBytes).toBe(length);
+});
+
 test("carried response without a length is broken when the carrying process ends", async () => {
     // Guards against half an answer that looks whole: the system of a killed process closes its connections in the ordinary way.
     endpoint = await startEndpoint((socket, id) => socket.write(unframed(id) + "half"));
--- a/src/adapters/forwarding/relayServer.ts
+++ b/src/adapters/forwarding/relayServer.ts
@@ -60,6 +60,7 @@
 /** One connection of another entry. */
 class CarriedConnection {
     private readonly startedAt: Milliseconds;
+    private isCarried = false;
 
     constructor(
         private readonly dependencies: RelayServerDependencies,
@@ -85,7 +86,7 @@
             return;
         }
         guard.openConnections++;
-        endpointSocket.once("close", () => guard.openConnections--);
+        endpointSocket.once("close", () => this.recordEndpointClosed());
         const stopTimer = clock.after(this.connectTimeout, () => {
             endpointSocket.destroy();
             void this.answerFailure(endpoint, RelayStatus.NoResponse);
@@ -110,6 +111,16 @@
         });
     }
 
+    /** Ends the connection's account. What the endpoint has sent may still be on its way to the other entry. */
+    private recordEndpointClosed(): void {
+        const { guard } = this.dependencies;
+        if (this.isCarried && !this.entrySocket.closed) {
+            this.entrySocket.once("close", () => guard.openConnections--);
+            return;
+        }
+        guard.openConnections--;
+    }
+
     private get connectTimeout(): Milliseconds {
         const asked = parseNonNegativeNumber(String(this.request.headers[relayTimeoutHeader]));
         return Math.min(maximumConnectTimeout, asked ?? maximumConnectTimeout);
@@ -134,6 +145,7 @@
      */
     private carry(endpointSocket: Socket): void {
         const { entrySocket } = this;
+        this.isCarried = true;
         this.dependencies.onCarried();
         const { headers } = this.request;
         const usesFrames = headers[relayFramingHeader] === relayFraming;
