A request behind one without a Host header doesn't run without an answer

A caller that sent a request without a Host header and a further one behind it got 400 and the close of the connection, and the further request ran: Node writes that rejection itself, announces the close with it, and hands over the next request all the same.

The entry rejects requests without a Host header itself, as other requests with an invalid head, and runs none behind the close that it announces. Requests of HTTP/1.0 need no Host header, as before.

--- a/__tests__/forwarding/oddRequests.test.ts
+++ b/__tests__/forwarding/oddRequests.test.ts
@@ -98,6 +98,14 @@
     },
 );
 
+test("request behind one without a host doesn't run unless it is answered", async () => {
+    // Guards against a request that runs and whose connection is closed with the rejection of the request before it.
+    const withoutHost = head("second", ["Content-Length: 0"]).replace("Host: desk.example\r\n", "");
+    const text = await sendRaw(entry.callers, booking + withoutHost + head("third", ["Content-Length: 0"]), closeAfter);
+    expect(answersIn(text)).toEqual(["200 first", "400"]);
+    expect(site.replicas.get("i-1")!.arrivals.map(({ id }) => id)).toEqual(["first"]);
+});
+
 test("entry with a CONNECT request behind a request in progress can be closed", async () => {
     // Guards against a stop that waits forever for a connection that Node has handed over.
     const answers = sendRaw(entry.callers, booking + tunnel, closeAfter);
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -65,6 +65,8 @@
             // The route bounds the total time of a request, not a fixed timeout here.
             requestTimeout: 0,
             keepAliveTimeout: defaultIdleTimeout,
+            // Node's own rejection closes the connection beside later requests, which run.
+            requireHostHeader: false,
         }, (request, response) => this.handleRequest(request, response));
         this.server.on("clientError", (error, socket) => this.unparsedRequests.reject(error, socket as Socket));
         this.server.on("connect", (...[, stream]) => this.unparsedRequests.rejectTunnel(stream as Socket));
@@ -187,6 +189,10 @@
             exchange.reject(new RequestFailure(FailureKind.BadRequest, Execution.NotRun, detail));
             return undefined;
         }
+        if (request.headers.host === undefined && request.httpVersionMinor > 0) {
+            exchange.reject(new RequestFailure(FailureKind.BadRequest, Execution.NotRun, "expected a Host header"));
+            return undefined;
+        }
         if (id === undefined) {
             const detail = "expected exactly one request identifier header";
             exchange.reject(new RequestFailure(FailureKind.BadRequest, Execution.NotRun, detail));
