The soak excuses a slow reader only if its own process stood still for most of its time

The trace shows one case: the client's process stood still for 15 of 16 s. Only that is excused now.

--- a/__tests__/soak/checker.ts
+++ b/__tests__/soak/checker.ts
@@ -78,6 +78,8 @@
 const bytesPerMegabyte = 1024 * 1024;
 /** How long after an unplanned disruption requests may still be lost to it. */
 const disruptionAftermath: Milliseconds = 3_000;
+/** A slow reader that has stood still for longer than this share of its time isn't judged. */
+const maximumPausedShare = 0.5;
 const minimumServedShare = 0.25;
 const sentBeforeStopEnds: Milliseconds = 3_000;
 
@@ -218,6 +220,12 @@
         return this.pausedTime(this.startedAt, now) / (now - this.startedAt);
     }
 
+    /** Whether the client, which reads slowly, had too little time for what the entry may long have sent. */
+    private hasClientStoodStill({ request, sentAt }: RequestRecord): boolean {
+        const now = systemClock.now();
+        return request.readPause > 0 && this.pausedTime(sentAt, now) > maximumPausedShare * (now - sentAt);
+    }
+
     private judge(record: RequestRecord, outcome: Outcome): void {
         switch (outcome.type) {
             case "Whole":
@@ -239,9 +247,8 @@
                 this.count("not connected");
                 return;
             case "GivenUp":
-                if (record.request.readPause > 0) {
-                    // Its client may not have read yet what the entry has long sent.
-                    this.count("given up while reading slowly");
+                if (this.hasClientStoodStill(record)) {
+                    this.count("given up by a client that stood still");
                     return;
                 }
                 this.reportRequest(Rule.Held, record, "it hasn't ended long after its deadline");
