A stream that its caller reads slowly goes on beside a CONNECT request

A caller that sent CONNECT behind a request whose stream it read slowly got 69 of 200 events and then nothing more, also after the route's timeout: Node takes its own listeners from a connection with a CONNECT request, and no longer tells when it accepts more.

The entry goes on once the operating system has taken the event, which the write itself reports.

--- a/__tests__/forwarding/oddRequests.test.ts
+++ b/__tests__/forwarding/oddRequests.test.ts
@@ -2,7 +2,8 @@
 import net from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { splitAddress } from "../../src/utils/address.js";
-import { call, callerKey, operatorConfiguration, sendRaw, Site, type SiteEntry } from "./support/site.js";
+import { systemClock } from "../../src/utils/clock.js";
+import { call, callerKey, eventIds, operatorConfiguration, sendRaw, Site, type SiteEntry } from "./support/site.js";
 
 const closeAfter = 4_000;
 /** Longer than the header timeout of the site, and than Node takes to notice it. */
@@ -106,6 +107,35 @@
     expect(site.replicas.get("i-1")!.arrivals.map(({ id }) => id)).toEqual(["first"]);
 });
 
+test("stream in progress that its caller reads slowly goes on beside a CONNECT request", async () => {
+    // Guards against a stream that stops, as Node no longer tells when the connection accepts more.
+    const engine = await site.replica("m-1", "models");
+    const eventCount = 200;
+    engine.fault = ({ id }, response) => {
+        response.writeHead(200, { ...engine.responseHeaders(id), "content-type": "text/event-stream" });
+        for (let event = 1; event <= eventCount; event++) {
+            response.write(`id: ${event}\ndata: ${"x".repeat(60_000)}\n\n`);
+        }
+        response.end();
+        return true;
+    };
+    await expect.poll(() => entry.entry.directory.get("m-1")).toBeDefined();
+    const socket = net.connect(splitAddress(entry.callers));
+    const closed = new Promise(resolve => socket.once("close", resolve));
+    let text = "";
+    socket.on("data", (bytes: Buffer) => text += bytes.toString("latin1")).pause();
+    socket.write(head("stream", ["Content-Length: 0"]).replace("/places/a", "/replies/a"));
+    await expect.poll(() => engine.arrivals.length).toBe(1);
+    await systemClock.sleep(200);
+    socket.write(tunnel);
+    await systemClock.sleep(200);
+    socket.resume();
+    setTimeout(() => socket.destroy(), closeAfter).unref();
+    await closed;
+    expect(eventIds(text).length).toBe(eventCount);
+    expect(answersIn(text)).toEqual(["200", "400"]);
+});
+
 test("entry with a CONNECT request behind a request in progress can be closed", async () => {
     // Guards against a stop that waits forever for a connection that Node has handed over.
     const answers = sendRaw(entry.callers, booking + tunnel, closeAfter);
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -273,16 +273,18 @@
             this.writer.write(bytes);
             return Promise.resolve();
         }
-        if (this.response.write(bytes)) {
-            return Promise.resolve();
-        }
         return new Promise((resolve, reject) => {
             const onDisconnect = () => reject(new CallerDisconnectedError());
-            this.disconnected.addEventListener("abort", onDisconnect, { once: true });
-            this.response.once("drain", () => {
+            // Node emits no "drain" any more once a CONNECT request has come on the connection.
+            const acceptsMore = this.response.write(bytes, () => {
                 this.disconnected.removeEventListener("abort", onDisconnect);
                 resolve();
             });
+            if (acceptsMore) {
+                resolve();
+                return;
+            }
+            this.disconnected.addEventListener("abort", onDisconnect, { once: true });
         });
     }
 
