An attempt whose response can't be handled ends

A caller whose endpoint answered got no answer, also not at the deadline, if the handling of the response threw: nothing settled the attempt any more, as a response had come. No value of an endpoint is known that does this; it is the same cause as that of requests whose handling throws.

The attempt counts as broken off, with the error as its reason.

--- a/__tests__/forwarding/failingHandlers.test.ts
+++ b/__tests__/forwarding/failingHandlers.test.ts
@@ -5,6 +5,7 @@
 import { MemoryGuard } from "../../src/core/memoryBounds/memoryGuard.js";
 import { systemClock } from "../../src/utils/clock.js";
 import { listen, type Listener } from "../../src/utils/httpServer.js";
+import { attemptOn, newClient, rawHead, startEndpoint } from "./support/rawEndpoint.js";
 import { call } from "./support/site.js";
 
 const fail = () => {
@@ -56,3 +57,13 @@
     const answer = await call(listener.address, "/", { signal: AbortSignal.timeout(2_000) });
     expect(answer).toMatchObject({ status: 500, whole: true });
 });
+
+test("attempt whose report handling throws ends as broken", async () => {
+    // Guards against a request that is never answered, also not at its deadline.
+    const endpoint = await startEndpoint((socket, id) => socket.write(rawHead(id, "200 OK", ["Content-Length: 0"])));
+    const sent = newClient().send(attemptOn(endpoint), AbortSignal.timeout(1_000), fail);
+    expect(await Promise.race([sent, systemClock.sleep(3_000)])).toMatchObject({
+        type: "Broken",
+        reason: "the handler failed",
+    });
+});
--- a/src/adapters/forwarding/endpointClient.ts
+++ b/src/adapters/forwarding/endpointClient.ts
@@ -238,7 +238,10 @@
         });
         request.on("response", response => {
             this.hasResponse = true;
-            void this.handleResponse(request, response);
+            this.handleResponse(request, response).catch(error => {
+                request.destroy();
+                this.settle({ type: "Broken", reason: describeError(error) });
+            });
         });
         request.on("error", (error: NodeJS.ErrnoException) => {
             this.connectionError = describeError(error);
