The soak sees requests that a running process drops, and answers that it replaces

A request that the log doesn't name counts as unread only if the process has ended, and so may have left it to the operating system. A failure other than 503 in place of an answer that a replica had made breaks a rule, unless at the timeout, beside a disruption, or in the last sixth of the grace period.

--- a/__tests__/soak/checker.ts
+++ b/__tests__/soak/checker.ts
@@ -18,6 +18,8 @@
     Refused = "REFUSED",
     Denied = "DENIED",
     Unasked = "UNASKED",
+    /** A failure in place of an answer that a replica had made. */
+    Replaced = "REPLACED",
     /** A request that hasn't ended well after its deadline. */
     Held = "HELD",
     /** A process that ends by itself, or otherwise than with exit code 0 after a planned stop. */
@@ -273,6 +275,20 @@
         if (isDenied) {
             this.reportRequest(Rule.Denied, record, `the answer is ${status}`);
         }
+        if (status >= 500 && status !== 503 && !isSigned) {
+            this.judgeFailure(record, status);
+        }
+    }
+
+    private judgeFailure(record: RequestRecord, status: number): void {
+        const endedAt = record.endedAt!;
+        const wasAnswered = record.runs.some(run => run.isFinished && run.endedAt! <= endedAt);
+        const isExcused = endedAt - record.sentAt >= 0.95 * this.shortestTimeout
+            || this.disruptions.some(span => overlaps(span, record.sentAt, endedAt))
+            || this.isAtWorkAtEndOfStop(record, endedAt);
+        if (wasAnswered && !isExcused) {
+            this.reportRequest(Rule.Replaced, record, `the answer is ${status}, and a replica had answered`);
+        }
     }
 
     private judgeCut(record: RequestRecord, reason: string): void {
@@ -292,8 +308,9 @@
             this.count(lastByteAt === undefined ? "cut while the body is sent" : "crossed the close");
             return;
         }
-        if (!isPassedOn && !life?.process.output.includes(request.id)) {
-            // A process names each request in its log that it has read and neither passed on nor answered.
+        const hasEnded = life === undefined || life.end !== undefined;
+        if (!isPassedOn && hasEnded && !life?.process.output.includes(request.id)) {
+            // What a process hasn't named in its log may have waited for it in the operating system when it ended.
             this.count("closed without being read");
             return;
         }
