The soak excuses at the end of a stop only what replicas still work on

A run that had been cut at any time counted as work in the last sixth of the grace period. So a request that an entry gave up early in a stop, and whose connection it closed at the end, would have counted as cut at the end of the grace period.

A run counts while it lasts.

--- a/__tests__/soak/checker.ts
+++ b/__tests__/soak/checker.ts
@@ -334,10 +334,7 @@
             return false;
         }
         const lastSixth = stoppedAt + this.limits.graceSeconds * 1_000 * 5 / 6;
-        const isAtWork = runs.some(({ endedAt: runEnd, isFinished }) =>
-            !isFinished || runEnd === undefined
-            || runEnd > lastSixth
-        );
+        const isAtWork = runs.some(({ endedAt: runEnd }) => runEnd === undefined || runEnd > lastSixth);
         return endedAt >= lastSixth && isAtWork;
     }
 
