--- a/__tests__/forwarding/processEnds.test.ts
+++ b/__tests__/forwarding/processEnds.test.ts
@@ -1,47 +1,16 @@
 /** Ways in which the serving program could end by itself: each accepted request gets its answer all the same. */
 import { execFileSync } from "node:child_process";
-import { closeSync, constants, mkdtempSync, openSync, readSync, rmSync, writeFileSync } from "node:fs";
+import { closeSync, constants, openSync, readSync, writeFileSync } from "node:fs";
 import net, { type AddressInfo } from "node:net";
-import { tmpdir } from "node:os";
 import path from "node:path";
-import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from "vitest";
-import { buildProgram, type EntryAddresses, EntryProcess, settingsText } from "./support/entryProgram.js";
-import { call, type CallerResponse, Site, until } from "./support/site.js";
+import { expect, test } from "vitest";
+import { BookingProgram } from "./support/bookingProgram.js";
+import { type EntryAddresses, settingsText } from "./support/entryProgram.js";
+import { call, type CallerResponse, until } from "./support/site.js";
 
-const folder = mkdtempSync(path.join(tmpdir(), "dandelionramp-ends-"));
-const program = path.join(folder, "main.cjs");
-const settingsFile = path.join(folder, "entry.ini");
 const workDuration = 500;
 
-let site: Site;
-let entry: EntryProcess | undefined;
-
-beforeAll(() => buildProgram(program));
-
-afterAll(() => rmSync(folder, { recursive: true }));
-
-beforeEach(async () => {
-    site = new Site();
-    const replica = await site.replica("i-1", "bookings");
-    replica.fault = ({ id }, response) => {
-        setTimeout(() => response.writeHead(200, replica.responseHeaders(id)).end("booked"), workDuration);
-        return true;
-    };
-    site.configure(1);
-    writeFileSync(settingsFile, await settingsText(site));
-});
-
-afterEach(async () => {
-    entry?.child.kill("SIGKILL");
-    await site.close();
-});
-
-/** Writes a module that is loaded before the program, and returns the options of Node that load it. */
-const preload = (name: string, code: string): string[] => {
-    const file = path.join(folder, `${name}.cjs`);
-    writeFileSync(file, code);
-    return ["--require", file];
-};
+const fixture = BookingProgram.setUp(workDuration);
 
 /** Writes settings with a port for callers and one for metrics that are free now. Returns the addresses. */
 const fixAddresses = async (): Promise<EntryAddresses> => {
@@ -61,7 +30,7 @@
         "listen.control": peers,
         "port_range.1": metrics.slice(metrics.indexOf(":") + 1),
     };
-    writeFileSync(settingsFile, await settingsText(site, changes));
+    writeFileSync(fixture.settingsFile, await settingsText(fixture.site, changes));
     return { callers, readiness, peers, metrics };
 };
 
@@ -85,7 +54,7 @@
 
 /** Starts a booking and resolves once it runs. */
 const book = async ({ callers }: EntryAddresses): Promise<{ answer: Promise<CallerResponse | undefined>; }> => {
-    const { arrivals } = site.replicas.get("i-1")!;
+    const { arrivals } = fixture.site.replicas.get("i-1")!;
     const arrivalsBefore = arrivals.length;
     const answer = call(callers, "/places/a").catch(() => undefined);
     await until(() => arrivals.length > arrivalsBefore);
@@ -98,7 +67,7 @@
 test("request in progress is answered although a timer throws", async () => {
     // Guards against accepted requests that are lost because one callback throws and the exception ends the process.
     const code = `process.on("SIGUSR2", () => setTimeout(() => { throw new Error("thrown by a timer"); }));`;
-    const running = entry = new EntryProcess(program, settingsFile, preload("throwing", code));
+    const running = fixture.start(fixture.preload("throwing", code));
     const addresses = await running.started();
     await isConfigured(addresses.readiness);
     const { answer } = await book(addresses);
@@ -112,7 +81,7 @@
     // Guards against a process that neither serves nor ends because its start has failed in a callback.
     const code = `const net = require("node:net");
         net.Server.prototype.listen = () => void setImmediate(() => { throw new Error("thrown at the start"); });`;
-    const starting = entry = new EntryProcess(program, settingsFile, preload("failing", code));
+    const starting = fixture.start(fixture.preload("failing", code));
     expect(await starting.exited).toBe(1);
     expect(starting.output).toContain("\nentry: thrown at the start\n");
 });
@@ -121,7 +90,7 @@
     // Guards against accepted requests that are lost because standard output can't be written and its error ends the process.
     const addresses = await fixAddresses();
     const output = openSync("/dev/full", "w");
-    const running = entry = new EntryProcess(program, settingsFile, [], output);
+    const running = fixture.start([], output);
     closeSync(output);
     await isConfigured(addresses.readiness);
     const { answer } = await book(addresses);
@@ -134,19 +103,19 @@
 
 test("log goes on with the next reader of a named pipe", async () => {
     // Guards against a log that stays silent until the process ends because its reader was restarted once.
-    const file = path.join(folder, "log");
+    const file = path.join(fixture.folder, "log");
     execFileSync("mkfifo", [file]);
     const openReader = () => openSync(file, constants.O_RDONLY | constants.O_NONBLOCK);
     const firstReader = openReader();
     const addresses = await fixAddresses();
     const output = openSync(file, "w");
-    entry = new EntryProcess(program, settingsFile, [], output);
+    const running = fixture.start([], output);
     closeSync(output);
     await isConfigured(addresses.readiness);
     closeSync(firstReader);
     let droppedText = "";
     await until(() => {
-        entry!.child.kill("SIGUSR2");
+        running.child.kill("SIGUSR2");
         void metricsOf(addresses).then(
             text => droppedText = /log_lines_dropped_total \d+/.exec(text)?.[0] ?? "",
             () => {},
@@ -156,7 +125,7 @@
     const secondReader = openReader();
     const buffer = Buffer.alloc(64 * 1024);
     await until(() => {
-        entry!.child.kill("SIGUSR2");
+        running.child.kill("SIGUSR2");
         return buffer.toString("latin1", 0, readAvailable(secondReader, buffer)).includes("log: Lines were dropped.");
     });
     closeSync(secondReader);
@@ -166,7 +135,7 @@
     // Guards against an entry that ends as if all were well, though its planned stop was cut short.
     const code = `const dgram = require("node:dgram");
         dgram.Socket.prototype.close = () => { throw new Error("thrown by the stop"); };`;
-    const running = entry = new EntryProcess(program, settingsFile, preload("stopping", code));
+    const running = fixture.start(fixture.preload("stopping", code));
     await running.started();
     running.child.kill("SIGTERM");
     expect(await running.exited).toBe(1);
--- a/__tests__/forwarding/signals.test.ts
+++ b/__tests__/forwarding/signals.test.ts
@@ -1,48 +1,22 @@
 /** Signals to the serving program while it serves: each accepted request gets its answer. */
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import path from "node:path";
-import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from "vitest";
+import { expect, test } from "vitest";
 import { systemClock } from "../../src/utils/clock.js";
-import { buildProgram, EntryProcess, settingsText } from "./support/entryProgram.js";
-import { call, type CallerResponse, Site, until } from "./support/site.js";
+import { BookingProgram } from "./support/bookingProgram.js";
+import type { EntryProcess } from "./support/entryProgram.js";
+import { call, type CallerResponse, until } from "./support/site.js";
 
-const folder = mkdtempSync(path.join(tmpdir(), "dandelionramp-signals-"));
-const program = path.join(folder, "main.cjs");
-const settingsFile = path.join(folder, "entry.ini");
 const workDuration = 1_000;
 const signalInterval = 150;
 
-let site: Site;
-let entry: EntryProcess | undefined;
-
-beforeAll(() => buildProgram(program));
-
-afterAll(() => rmSync(folder, { recursive: true }));
-
-beforeEach(async () => {
-    site = new Site();
-    const replica = await site.replica("i-1", "bookings");
-    replica.fault = ({ id }, response) => {
-        setTimeout(() => response.writeHead(200, replica.responseHeaders(id)).end("booked"), workDuration);
-        return true;
-    };
-    site.configure(1);
-    writeFileSync(settingsFile, await settingsText(site));
-});
-
-afterEach(async () => {
-    entry?.child.kill("SIGKILL");
-    await site.close();
-});
+const fixture = BookingProgram.setUp(workDuration);
 
 /** Starts an entry and resolves once a booking runs. */
 const startBooking = async (): Promise<{ running: EntryProcess; booking: Promise<CallerResponse | undefined>; }> => {
-    const running = entry = new EntryProcess(program, settingsFile);
+    const running = fixture.start();
     const { callers } = await running.started();
     await until(() => running.output.includes("A configuration is in force."));
     const booking = call(callers, "/places/a", { id: "booking" }).catch(() => undefined);
-    await until(() => site.replicas.get("i-1")!.arrivals.length === 1);
+    await until(() => fixture.site.replicas.get("i-1")!.arrivals.length === 1);
     return { running, booking };
 };
 
@@ -86,12 +60,8 @@
 
 test("SIGTERM while the modules load ends the process as planned", async () => {
     // Guards against a process that ends by a signal during its start instead of with exit code 0.
-    const loading = path.join(folder, "loading.cjs");
-    writeFileSync(
-        loading,
-        `process.once("newListener", () => setImmediate(() => process.kill(process.pid, "SIGTERM")));`,
-    );
-    const starting = entry = new EntryProcess(program, settingsFile, ["--require", loading]);
+    const code = `process.once("newListener", () => setImmediate(() => process.kill(process.pid, "SIGTERM")));`;
+    const starting = fixture.start(fixture.preload("loading", code));
     expect(await starting.exited).toBe(0);
 });
 
