A test of a stop waits for what it needs instead of for a while; raw callers of tests stand in one place

It now waits until the answers have begun before it stops the entry, and until the entry has closed the connections before it sends.

--- a/__tests__/forwarding/handover.test.ts
+++ b/__tests__/forwarding/handover.test.ts
@@ -3,8 +3,8 @@
 import net, { type AddressInfo, type Socket } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { LingeringCloser } from "../../src/adapters/forwarding/lingeringClose.js";
-import { splitAddress } from "../../src/utils/address.js";
 import { systemClock } from "../../src/utils/clock.js";
+import { RawCaller, requestHead } from "./support/rawCaller.js";
 import { callerKey, generation, operatorConfiguration, Site, type SiteEntry, until } from "./support/site.js";
 
 const megabyte = 1024 * 1024;
@@ -34,46 +34,6 @@
     site.store.model.put("config", "main", { ...configuration, limits });
 };
 
-/** A caller's connection; collects what it receives. */
-class RawCaller {
-    readonly closed: Promise<void>;
-    text = "";
-    error: string | undefined;
-
-    private constructor(readonly socket: Socket) {
-        socket.on("data", (bytes: Buffer) => this.text += bytes.toString("latin1"));
-        socket.on("error", (error: NodeJS.ErrnoException) => this.error = error.code);
-        this.closed = new Promise(resolve => socket.once("close", () => resolve()));
-    }
-
-    static async connect(address: string): Promise<RawCaller> {
-        const { host, port } = splitAddress(address);
-        const socket = net.connect(port, host);
-        await once(socket, "connect");
-        return new RawCaller(socket);
-    }
-
-    /** Length of the body of the only answer. */
-    get answerLength(): number {
-        return this.text.length - this.text.indexOf("\r\n\r\n") - "\r\n\r\n".length;
-    }
-
-    get statuses(): number[] {
-        return [...this.text.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(found => Number(found[1]));
-    }
-}
-
-const requestHead = (id: string, target: string, lines: string[] = []): string =>
-    [
-        `POST ${target} HTTP/1.1`,
-        "Host: desk.example",
-        `Dandelionramp-Request-Id: ${id}`,
-        `Authorization: Bearer ${callerKey}`,
-        ...lines,
-        "",
-        "",
-    ].join("\r\n");
-
 /** Answers each request with `size` bytes. */
 const answerWith = (size: number): void => {
     const replica = site.replicas.get("i-1")!;
--- a/__tests__/forwarding/oddRequests.test.ts
+++ b/__tests__/forwarding/oddRequests.test.ts
@@ -3,7 +3,8 @@
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { splitAddress } from "../../src/utils/address.js";
 import { systemClock } from "../../src/utils/clock.js";
-import { call, callerKey, eventIds, operatorConfiguration, sendRaw, Site, type SiteEntry } from "./support/site.js";
+import { requestHead } from "./support/rawCaller.js";
+import { call, eventIds, operatorConfiguration, sendRaw, Site, type SiteEntry } from "./support/site.js";
 
 const closeAfter = 4_000;
 /** Longer than the header timeout of the site, and than Node takes to notice it. */
@@ -25,16 +26,7 @@
 
 afterEach(() => site.close());
 
-const head = (id: string, lines: readonly string[]): string =>
-    [
-        "POST /places/a HTTP/1.1",
-        "Host: desk.example",
-        `Dandelionramp-Request-Id: ${id}`,
-        `Authorization: Bearer ${callerKey}`,
-        ...lines,
-        "",
-        "",
-    ].join("\r\n");
+const head = (id: string, lines: readonly string[]): string => requestHead(id, "/places/a", lines);
 
 const booking = head("first", ["Content-Length: 3"]) + "abc";
 
--- a/__tests__/forwarding/stop.test.ts
+++ b/__tests__/forwarding/stop.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { splitAddress } from "../../src/utils/address.js";
 import { systemClock } from "../../src/utils/clock.js";
+import { RawCaller, requestHead } from "./support/rawCaller.js";
 import { call, callerKey, eventIds, generation, Site, until } from "./support/site.js";
 
 let site: Site;
@@ -192,19 +193,11 @@
     const long = call(callers, "/places/a", { id: "long", headers: { "dandelionramp-deadline-ms": "5000" } });
     const stopped = entry.stop();
     await systemClock.sleep(2_800);
-    const { host, port } = splitAddress(callers);
-    const socket = net.connect(port, host);
-    await once(socket, "connect");
-    const closed = new Promise(resolve => socket.once("close", resolve));
-    let text = "";
-    socket.on("data", (bytes: Buffer) => text += bytes.toString("latin1")).on("error", () => {});
+    const caller = await RawCaller.connect(callers);
     await systemClock.sleep(150);
-    socket.write(
-        "POST /lookups/a HTTP/1.1\r\nHost: desk.example\r\nDandelionramp-Request-Id: late\r\n"
-            + `Authorization: Bearer ${callerKey}\r\nContent-Length: 0\r\n\r\n`,
-    );
-    await closed;
-    expect(text).toMatch(/^HTTP\/1.1 200 /);
+    caller.socket.write(requestHead("late", "/lookups/a", ["Content-Length: 0"]));
+    await caller.closed;
+    expect(caller.text).toMatch(/^HTTP\/1.1 200 /);
     expect((await long).status).toBe(200);
     await stopped;
 });
@@ -219,29 +212,25 @@
         return true;
     };
     const { entry, callers } = await site.start("entry-1", true, { graceSeconds: 10 });
-    const readSlowly = async (size: number, index: number): Promise<boolean> => {
-        const { host, port } = splitAddress(callers);
-        const socket = net.connect(port, host);
-        const closed = new Promise(resolve => socket.once("close", resolve));
-        let receivedBytes = 0;
-        socket.on("data", (bytes: Buffer) => receivedBytes += bytes.length).on("error", () => {});
-        socket.write(
-            `POST /lookups/a HTTP/1.1\r\nHost: desk.example\r\nDandelionramp-Request-Id: ${index}\r\n`
-                + `Authorization: Bearer ${callerKey}\r\nContent-Length: 0\r\n\r\n`,
-        );
-        await until(() => receivedBytes > 0);
+    const connected = await Promise.all(sizes.map(() => RawCaller.connect(callers)));
+    for (const [index, { socket }] of connected.entries()) {
+        socket.write(requestHead(String(index), "/lookups/a", ["Content-Length: 0"]));
+        await until(() => socket.bytesRead > 0);
         socket.pause();
-        await systemClock.sleep(3_100);
+    }
+    const stopped = entry.stop();
+    // All idle connections are closed in one pass.
+    await until(() => entry["callerPort"]["closer"]["waiting"].size > 0);
+    for (const { socket } of connected) {
         socket.write("\r\n");
-        await systemClock.sleep(200);
+    }
+    await systemClock.sleep(200);
+    for (const { socket } of connected) {
         socket.resume();
-        await closed;
-        return receivedBytes > size;
-    };
-    const reads = sizes.map(readSlowly);
-    await systemClock.sleep(300);
-    await entry.stop();
-    expect(await Promise.all(reads)).toEqual(sizes.map(() => true));
+    }
+    await Promise.all(connected.map(({ closed }) => closed));
+    expect(connected.map(({ socket }, index) => socket.bytesRead > sizes[index]!)).toEqual(sizes.map(() => true));
+    await stopped;
 });
 
 test("caller that still sends its body in a stop gets the rejection", async () => {
@@ -257,23 +246,16 @@
     const long = call(callers, "/places/a", { id: "long", headers: { "dandelionramp-deadline-ms": "6000" } });
     const stopped = entry.stop();
     await systemClock.sleep(2_800);
-    const { host, port } = splitAddress(callers);
-    const socket = net.connect(port, host);
-    await once(socket, "connect");
-    const closed = new Promise(resolve => socket.once("close", resolve));
-    let text = "";
-    socket.on("data", (bytes: Buffer) => text += bytes.toString("latin1")).on("error", () => {}).pause();
-    socket.write(
-        "POST /lookups/a HTTP/1.1\r\nHost: desk.example\r\nDandelionramp-Request-Id: late\r\n"
-            + `Authorization: Bearer unknown\r\nContent-Length: 5000000\r\n\r\n`,
-    );
+    const caller = await RawCaller.connect(callers);
+    caller.socket.pause();
+    caller.socket.write(requestHead("late", "/lookups/a", ["Content-Length: 5000000"]).replace(callerKey, "unknown"));
     for (let sent = 0; sent < 4; sent++) {
         await systemClock.sleep(120);
-        socket.write("x".repeat(1_000));
+        caller.socket.write("x".repeat(1_000));
     }
-    socket.resume();
-    await closed;
-    expect(text).toMatch(/^HTTP\/1.1 401 [^]*\}$/);
+    caller.socket.resume();
+    await caller.closed;
+    expect(caller.text).toMatch(/^HTTP\/1.1 401 [^]*\}$/);
     expect((await long).status).toBe(200);
     await stopped;
 });
