Bodies in chunks of a byte no longer end the process

What callers saw: 60 connections with bodies in chunks of a byte ended the entry within two seconds, out of heap, and everything in progress on it was cut; with a larger heap, no ordinary request was answered while they sent.

Cause: a body that had used up its turn was paused together with its socket. A paused message reads on until its own buffer of 16 kB is full, and resumes the socket for it; with pieces of a byte that buffer is some ten thousand objects of 200 bytes. Besides, every connection had 128 kB of work a turn, so that a turn took as long as there were connections, and small pieces stayed objects until 512 of them had come.

Fix: while a body waits for its next turn, the reading from its socket is held back and the message keeps flowing, so that every piece that was read is copied into a block at once. All bodies of callers share 1 MB of work a turn; what exceeds it delays later turns, and new connections are read before the bodies that wait, so that an ordinary request passes between them.

--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -15,6 +15,7 @@
 import { endWithInternalError } from "../../utils/httpServer.js";
 import type { PartLog } from "../../utils/log.js";
 import { abortQuietly } from "../../utils/signal.js";
+import { TurnShare } from "../../utils/turnShare.js";
 import { problemOf } from "../callers/problem.js";
 import { CallerConnection } from "./callerConnection.js";
 import { CallerWriter } from "./callerWriter.js";
@@ -54,6 +55,7 @@
     private readonly connectionBySocket = new Map<Socket, CallerConnection>();
     private readonly closer: LingeringCloser;
     private readonly unparsedRequests: UnparsedRequests;
+    private readonly share = new TurnShare();
 
     constructor(private readonly dependencies: CallerPortDependencies) {
         this.closer = new LingeringCloser(dependencies.clock);
@@ -72,6 +74,10 @@
         this.server.on("connect", (...[, stream]) => this.unparsedRequests.rejectTunnel(stream as Socket));
         this.server.on("connection", socket => {
             this.connectionBySocket.set(socket, new CallerConnection(socket, this.closer, dependencies.clock));
+            if (this.share.isSpent) {
+                socket.pause();
+                this.share.enqueueNew(() => socket.resume());
+            }
             socket.once("close", () => this.connectionBySocket.delete(socket));
         });
     }
@@ -177,7 +183,14 @@
         const { wire, clock } = this.dependencies;
         const { id, ...facts } = wire.readRequest(request.rawHeaders);
         const head = { ...facts, method: request.method ?? "", target: request.url ?? "", arrivedAt: clock.now() };
-        const exchange = new HttpExchange(this.dependencies, { ...head, id: id ?? "" }, request, response, connection);
+        const exchange = new HttpExchange(
+            this.dependencies,
+            { ...head, id: id ?? "" },
+            request,
+            response,
+            connection,
+            this.share,
+        );
         const limit = this.dependencies.routes()?.configuration.limits.headerBytes ?? maximumHeaderBytes;
         if (headerBytes(request.rawHeaders) + head.target.length + requestLineOverheadBytes > limit) {
             const detail = `the request line and headers exceed ${limit} bytes`;
@@ -216,6 +229,7 @@
         private readonly request: http.IncomingMessage,
         private readonly response: http.ServerResponse,
         private readonly connection: CallerConnection,
+        private readonly share: TurnShare,
     ) {
         this.memory = dependencies.memoryGuard.open(head.id);
         this.writer = this.memory && new CallerWriter(response, this.memory);
@@ -247,7 +261,8 @@
         this.countBody();
         try {
             const time = { limit: this.bodyTimeout(), clock: this.dependencies.clock };
-            return await collectBody(this.request, { bytes: limitBytes, time, signal: this.memory?.ended });
+            const { share } = this;
+            return await collectBody(this.request, { bytes: limitBytes, time, signal: this.memory?.ended, share });
         }
         catch (error) {
             throw toBodyFailure(error);
--- a/src/utils/bodies.ts
+++ b/src/utils/bodies.ts
@@ -4,6 +4,7 @@
 import type { Clock, Milliseconds } from "./clock.js";
 import { BodyTooLargeError, DandelionrampError, describeError } from "./errors.js";
 import { createTurnLimit } from "./turnLimit.js";
+import type { TurnShare } from "./turnShare.js";
 
 /** The connection closed before the body was complete. */
 export class BodyIncompleteError extends DandelionrampError {}
@@ -28,6 +29,8 @@
     time?: { limit: Milliseconds; clock: Clock; };
     /** Stops the reading when it aborts. */
     signal?: AbortSignal;
+    /** Shares the turns of the event loop with other bodies. */
+    share?: TurnShare;
 }
 
 /**
@@ -37,12 +40,13 @@
 export const collectBody = (message: IncomingMessage, limits: BodyLimits): Promise<Buffer> =>
     new Promise((resolve, reject) => {
         const collector = new ByteCollector();
-        const limitTurn = createTurnLimit(message);
+        const limitTurn = createTurnLimit(message, limits.share);
         let cancelTimer = () => {};
         let size = 0;
         const finish = (settle: () => void) => {
             cancelTimer();
             message.off("data", addChunk);
+            collector.clear();
             limits.signal?.removeEventListener("abort", stop);
             settle();
         };
@@ -64,7 +68,8 @@
         message.on("data", addChunk);
         message.once("end", () => {
             if (message.complete) {
-                finish(() => resolve(collector.join()));
+                const body = collector.join();
+                finish(() => resolve(body));
                 return;
             }
             finish(() => reject(new BodyIncompleteError("the connection closed")));
--- a/src/utils/turnLimit.ts
+++ b/src/utils/turnLimit.ts
@@ -1,5 +1,7 @@
 /** Spreads the reading of a large message over several turns of the event loop, so that timers and other connections run. */
 import type { IncomingMessage } from "node:http";
+import { holdReading } from "./heldReading.js";
+import type { TurnShare } from "./turnShare.js";
 
 /** Bytes that one message may deliver in a turn. Node reads up to 2 MB from one connection in a turn. */
 const maximumTurnBytes = 128 * 1024;
@@ -9,22 +11,26 @@
 /** Memory and work that a piece of a message takes, in bytes. */
 export const costOfPiece = (piece: Buffer): number => Math.max(minimumPieceBytes, piece.length);
 
-/** Returns a function to call with each piece of `message`. At the limit it pauses the message until the next turn. */
-export const createTurnLimit = (message: IncomingMessage): (piece: Buffer) => void => {
+/**
+ * Returns a function to call with each piece of `message`. At the limit the reading stops until the next turn, or until
+ * `share`, where there is one, has room for it.
+ */
+export const createTurnLimit = (message: IncomingMessage, share?: TurnShare): (piece: Buffer) => void => {
     const { socket } = message;
     let bytes = 0;
     let isPausing = false;
-    const resume = () => {
-        socket.resume();
-        message.resume();
-    };
     const pause = () => {
+        share?.spend(bytes);
         bytes = 0;
         isPausing = false;
-        if (!message.complete) {
-            message.pause();
-            // What has been read stays one buffer there; in the message it would become many pieces.
-            socket.pause();
+        if (message.complete || socket.destroyed) {
+            return;
+        }
+        const resume = holdReading(socket);
+        if (share) {
+            share.enqueue(resume);
+        }
+        else {
             setImmediate(resume);
         }
     };
