Clients that send on behind a rejection no longer take memory in the kernel

Bytes behind a request in progress were read and parsed anew for as long as its answer took.

Cause: a connection that waits for its caller to close was read as fast as its caller sends, up to 2 MB a turn and 32 MB in all. The system grows the receive buffer of a connection that is read so fast, to about 1 MB on loopback, and up to 512 such buffers were kept full. Nothing counted them.

What can't be parsed behind a request in progress is read no further until its answer is complete; bodies that share the turns are read 64 kB a turn.

--- a/__tests__/clients/crowds.test.ts
+++ b/__tests__/clients/crowds.test.ts
@@ -98,7 +98,7 @@
         target.answerWith(largePath, Buffer.alloc(largestBodyBytes, "x"));
         target.neverAnswer(slowPath);
         const result = await target.run({ ...plan, address: target.addresses[port] });
-        console.log(JSON.stringify({ name, ...result, memoryMegabytes: Math.round(result.memoryBytes / megabyte) }));
+        console.log(JSON.stringify({ name, ...result }));
         expect(result.lives).toBe(true);
         expect(result.memoryBytes).toBeLessThan(memoryMegabytes * megabyte);
         expect(result.descriptors).toBeLessThanOrEqual(maximumDescriptors);
--- a/__tests__/clients/support/target.ts
+++ b/__tests__/clients/support/target.ts
@@ -57,6 +57,8 @@
     lives: boolean;
     /** Highest resident memory, and the highest number of unread bytes of its connections in the kernel, in bytes. */
     memoryBytes: number;
+    /** The unread part of {@link memoryBytes}. */
+    unreadBytes: number;
     /** Highest number of open descriptors. */
     descriptors: number;
     /** Status of an ordinary request while the crowd's connections stand open; undefined without an answer. */
@@ -159,6 +161,7 @@
         return {
             lives: !this.entry.hasExited,
             memoryBytes: this.residentPeakBytes() + peaks.unreadBytes,
+            unreadBytes: peaks.unreadBytes,
             descriptors: peaks.descriptors,
             statusBeside,
             statusAfterwards,
--- a/__tests__/forwarding/handover.test.ts
+++ b/__tests__/forwarding/handover.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { LingeringCloser } from "../../src/adapters/forwarding/lingeringClose.js";
 import { systemClock } from "../../src/utils/clock.js";
+import { TurnShare } from "../../src/utils/turnShare.js";
 import { RawCaller, requestHead } from "./support/rawCaller.js";
 import { callerKey, generation, operatorConfiguration, Site, type SiteEntry, until } from "./support/site.js";
 
@@ -216,7 +217,7 @@
 
 /** Closes connections after a rejection, as the entry does. */
 const listenAndReject = async (): Promise<net.Server> => {
-    const closer = new LingeringCloser(systemClock);
+    const closer = new LingeringCloser({ clock: systemClock, share: new TurnShare() });
     const server = net.createServer({ allowHalfOpen: true }, socket => {
         socket.on("error", () => {});
         socket.write("HTTP/1.1 413 Too large\r\n\r\n");
--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
+import { holdReading } from "../../utils/heldReading.js";
 import type { LingeringCloser } from "./lingeringClose.js";
 
 /** How long the first request of a new connection may be on its way. */
@@ -19,6 +20,8 @@
     private hasAnnouncedClose = false;
     /** What the connection ends with once the responses in progress are complete. */
     private finalBytes: string | undefined;
+    /** Goes on with the reading after {@link holdReading}. */
+    private resumeReading: (() => void) | undefined;
     /** Bytes that had arrived when the last response was complete. */
     private bytesReadWhenIdle = 0;
 
@@ -61,6 +64,11 @@
         return this.socket.readableEnded && this.openResponses.size > 0;
     }
 
+    /** Stops the reading of bytes that can't be parsed until the responses in progress are complete. */
+    holdReading(): void {
+        this.resumeReading ??= holdReading(this.socket);
+    }
+
     /** Whether the connection closes behind the responses in progress. */
     get isEnding(): boolean {
         return this.finalBytes !== undefined;
@@ -136,6 +144,7 @@
             return;
         }
         this.finalBytes = undefined;
+        this.resumeReading?.();
         socket.write(finalBytes);
         this.closer.close(socket);
     }
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -45,6 +45,8 @@
     /** The route table in force, with its limits; undefined until a configuration is known. */
     routes: () => RouteTable | undefined;
     memoryGuard: MemoryGuard;
+    /** Memory that the process may use; 0, the default, where it is unknown. */
+    memoryBytes?: number;
     /** Whether this entry is stopping, so that callers should close their connections. */
     isStopping: () => boolean;
 }
@@ -58,7 +60,8 @@
     private readonly share = new TurnShare();
 
     constructor(private readonly dependencies: CallerPortDependencies) {
-        this.closer = new LingeringCloser(dependencies.clock);
+        const { clock, memoryBytes } = dependencies;
+        this.closer = new LingeringCloser({ clock, memoryBytes, share: this.share });
         this.unparsedRequests = new UnparsedRequests(dependencies.log, socket => this.connectionBySocket.get(socket));
         this.server = http.createServer({
             maxHeaderSize: maximumHeaderBytes,
--- a/src/adapters/forwarding/unparsedRequests.ts
+++ b/src/adapters/forwarding/unparsedRequests.ts
@@ -31,11 +31,13 @@
             socket.destroy();
             return;
         }
-        // What follows can't be parsed either.
-        if (!connection.isEnding) {
-            this.log.warn("A request can't be parsed.", { code: error.code, reason: error.message });
-            connection.endWith(formatRejection(error));
+        // What follows can't be parsed either, and would be read for as long as the request in progress takes.
+        if (connection.isEnding) {
+            connection.holdReading();
+            return;
         }
+        this.log.warn("A request can't be parsed.", { code: error.code, reason: error.message });
+        connection.endWith(formatRejection(error));
     }
 
     /** Answers a `CONNECT` request. Node hands its connection over, and would close it if nobody took it. */
--- a/src/utils/turnLimit.ts
+++ b/src/utils/turnLimit.ts
@@ -5,6 +5,11 @@
 
 /** Bytes that one message may deliver in a turn. Node reads up to 2 MB from one connection in a turn. */
 const maximumTurnBytes = 128 * 1024;
+/**
+ * The same for one that shares the turns with others: a single read. The system grows the receive buffer of a connection that is
+ * read faster, and the unread bytes of many such connections take the memory of the instance.
+ */
+const maximumSharedTurnBytes = 64 * 1024;
 /** A smaller piece takes as much memory and time as one of this size, for the objects around it. */
 const minimumPieceBytes = 256;
 
@@ -17,6 +22,7 @@
  */
 export const createTurnLimit = (message: IncomingMessage, share?: TurnShare): (piece: Buffer) => void => {
     const { socket } = message;
+    const maximumBytes = share ? maximumSharedTurnBytes : maximumTurnBytes;
     let bytes = 0;
     let isPausing = false;
     const pause = () => {
@@ -36,7 +42,7 @@
     };
     return piece => {
         bytes += costOfPiece(piece);
-        if (bytes >= maximumTurnBytes && !isPausing) {
+        if (bytes >= maximumBytes && !isPausing) {
             isPausing = true;
             // The pieces of the current buffer are all delivered first.
             process.nextTick(pause);
