Buffered bytes are bounded on every deployment, and what hasn't arrived goes first

What callers saw: 100 clients whose bodies stop short of their end took 500 MB where 200 are allowed, and would end a process on its instance; where the platform announces slow peers (`pressure`), ordinary callers got 503 for as long as such bodies stood.

Cause: the account of buffered bytes was on only with that contract, counted announced bytes alone for new requests, and at its bound rejected the newcomer, whatever it held.

Fix: the account is on wherever the memory of the instance is known. A request counts its head and objects, a body without an announced length 512 kB until it has arrived. Requests that are still arriving can be ended: for a new one those of whose body nothing has come for 0.5 s, and, for a much smaller one, those that take over 2 s; at the bound the one that has held the most for the longest time. They are answered 503 (not run). Requests of up to 64 kB may use the room up to the bound itself. The bound leaves room for one of the largest allowed bodies. Answers that are complete count until the system has taken them; streams wait for their callers as before, and are queued only where slow peers are announced.

--- a/__tests__/forwarding/support/rawEndpoint.ts
+++ b/__tests__/forwarding/support/rawEndpoint.ts
@@ -117,6 +117,8 @@
     open(): RequestMemory {
         return new RequestMemory({
             admit: () => {},
+            onArriving: () => {},
+            onArrived: () => {},
             onChange: (kind, difference) => {
                 this.held += kind === HeldKind.Received ? difference : 0;
                 this.highest = Math.max(this.highest, this.held);
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -33,6 +33,12 @@
 /** Idle connections stay open this much longer than the configured timeout, for requests in flight when it expires. */
 const keepAliveMargin: Milliseconds = 1_000;
 const requestLineOverheadBytes = 16;
+/** What a body without an announced length is expected to take, in bytes, until it has arrived. */
+const unannouncedBodyBytes = 512 * 1024;
+/** Memory that the objects of a request take, without its head and body. */
+const exchangeBytes = 8 * 1024;
+/** Memory that the head of a request takes, as a multiple of its bytes: its texts, their copies, and the lists of them. */
+const headCostFactor = 3;
 /** Targets that Node sends; it also receives others, and an endpoint that they can't be sent to would look unreachable. */
 const targetPattern = /^[\x21-\xff]+$/;
 
@@ -45,6 +51,8 @@
     /** The route table in force, with its limits; undefined until a configuration is known. */
     routes: () => RouteTable | undefined;
     memoryGuard: MemoryGuard;
+    /** Whether streams are read on while their callers don't read them, within the bound on buffered bytes; false by default. */
+    queuesUnreadResponses?: () => boolean;
     /** Memory that the process may use; 0, the default, where it is unknown. */
     memoryBytes?: number;
     /** Whether this entry is stopping, so that callers should close their connections. */
@@ -235,7 +243,10 @@
         private readonly share: TurnShare,
     ) {
         this.memory = dependencies.memoryGuard.open(head.id);
-        this.writer = this.memory && new CallerWriter(response, this.memory);
+        this.memory?.change(HeldKind.Head, exchangeBytes + headCostFactor * headerBytes(request.rawHeaders));
+        this.writer = this.memory && dependencies.queuesUnreadResponses?.()
+            ? new CallerWriter(response, this.memory)
+            : undefined;
         this.memory?.ended.addEventListener("abort", () => this.endUnread(), { once: true });
         response.once("close", () => {
             this.memory?.close();
@@ -261,11 +272,13 @@
         if (Number(this.request.headers["content-length"] ?? 0) > limitBytes) {
             throw toBodyFailure(new BodyTooLargeError(limitBytes));
         }
-        this.countBody();
+        this.countBody(limitBytes);
         try {
             const time = { limit: this.bodyTimeout(), clock: this.dependencies.clock };
-            const { share } = this;
-            return await collectBody(this.request, { bytes: limitBytes, time, signal: this.memory?.ended, share });
+            const { share, memory } = this;
+            const body = await collectBody(this.request, { bytes: limitBytes, time, signal: memory?.ended, share });
+            this.recordArrived(body.length);
+            return body;
         }
         catch (error) {
             throw toBodyFailure(error);
@@ -279,7 +292,15 @@
             this.endStream();
             return;
         }
-        this.response.end(this.head.method === "HEAD" ? undefined : body);
+        if (this.head.method === "HEAD") {
+            this.response.end();
+            return;
+        }
+        this.response.end(body);
+        if (this.response.writableLength > 0) {
+            // Counted until the response closes.
+            this.memory?.change(HeldKind.Unwritten, body.length);
+        }
     }
 
     beginStream(head: ResponseHead): void {
@@ -349,17 +370,19 @@
     }
 
     /** Counts the announced length of the body at once, so that bodies that arrive slowly can't exceed the bound together. */
-    private countBody(): void {
+    private countBody(limitBytes: number): void {
         const { memory } = this;
         if (!memory) {
             return;
         }
         const announcedBytes = Number(this.request.headers["content-length"] ?? 0);
         memory.admit(announcedBytes);
-        this.bodyBytes = announcedBytes;
-        memory.change(HeldKind.Body, announcedBytes);
+        const isUnannounced = this.request.headers["transfer-encoding"] !== undefined;
+        this.bodyBytes = isUnannounced ? Math.min(unannouncedBodyBytes, limitBytes) : announcedBytes;
+        memory.change(HeldKind.Body, this.bodyBytes);
         let receivedBytes = 0;
         this.request.on("data", (bytes: Buffer) => {
+            memory.recordArriving();
             receivedBytes += bytes.length;
             const excessBytes = Math.max(0, receivedBytes - this.bodyBytes);
             this.bodyBytes += excessBytes;
@@ -367,6 +390,13 @@
         });
     }
 
+    /** Counts what the body takes from now on, once all of it has arrived. */
+    private recordArrived(bytes: number): void {
+        this.memory?.change(HeldKind.Body, bytes - this.bodyBytes);
+        this.bodyBytes = bytes;
+        this.memory?.recordArrived();
+    }
+
     private afterQueued(action: () => void): void {
         if (this.writer) {
             this.writer.finish(action);
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -190,6 +190,7 @@
             serve: exchange => this.core.forwarder.serve(exchange),
             routes: () => this.configuration.routes,
             memoryGuard: this.core.memoryGuard,
+            queuesUnreadResponses: this.core.queuesUnreadResponses,
             memoryBytes: instance.memoryMegabytes * bytesPerMegabyte,
             isStopping: () => this.plannedStop !== undefined,
         });
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -124,6 +124,8 @@
     readonly schedulingPolicy: SchedulingPolicy;
     /** Bounds the bytes that are buffered for callers and endpoints. */
     readonly memoryGuard: MemoryGuard;
+    /** Whether streams are read on while their callers don't read them. */
+    readonly queuesUnreadResponses: () => boolean;
     /** The wait queue of this entry. */
     readonly waitScheduler: WaitScheduler;
     private readonly loans: AllowanceLoans;
@@ -149,8 +151,10 @@
             log: log("buffers"),
             metrics: this.metrics,
             memory: dependencies.memory ?? unknownMemory,
-            isOn: () => this.schedulingPolicy.boundsSlowReaders(dependencies.expectsSlowReaders?.() ?? false),
+            largestBodyBytes: () => this.configuration.routes?.configuration.limits.bodyBytes ?? 0,
         });
+        this.queuesUnreadResponses = () =>
+            this.schedulingPolicy.boundsSlowReaders(dependencies.expectsSlowReaders?.() ?? false);
         this.directory = new EndpointDirectory(clock, log("directory"));
         this.failures = new FailureTracker(clock, log("failures"), self.id);
         this.loads = new SharedLoadEstimator(new LoadEstimator(clock, endpoint => this.engineOf(endpoint)), clock);
--- a/src/core/memoryBounds/heldBytes.ts
+++ b/src/core/memoryBounds/heldBytes.ts
@@ -3,6 +3,8 @@
 
 /** Why bytes are buffered. */
 export enum HeldKind {
+    /** The head of the request, with the objects that its request takes in the process's heap. */
+    Head = "head",
     /** The body of the request, kept until the request ends because it may be sent again. */
     Body = "body",
     /** The part of the body that the endpoint has not read yet; these bytes count once, as body. */
@@ -19,7 +21,12 @@
     waitingSince: Milliseconds | undefined;
     /** When a peer last read bytes, or when the waiting began. */
     progressAt: Milliseconds;
+    /** Whether the request waits behind another one of its connection, or for the rest of its body. Nothing of it has run then. */
+    isArriving = true;
+    /** When a byte of the body last arrived, or when the request was opened. */
+    arrivedAt: Milliseconds;
     private readonly bytes: Record<HeldKind, number> = {
+        [HeldKind.Head]: 0,
         [HeldKind.Body]: 0,
         [HeldKind.Unsent]: 0,
         [HeldKind.Received]: 0,
@@ -28,11 +35,13 @@
 
     constructor(readonly id: string, readonly openedAt: Milliseconds) {
         this.progressAt = openedAt;
+        this.arrivedAt = openedAt;
     }
 
     /** Number of bytes in memory. */
     get total(): number {
-        return this.bytes[HeldKind.Body] + this.bytes[HeldKind.Received] + this.bytes[HeldKind.Unwritten];
+        const { Head, Body, Received, Unwritten } = HeldKind;
+        return this.bytes[Head] + this.bytes[Body] + this.bytes[Received] + this.bytes[Unwritten];
     }
 
     /** Number of bytes that a peer has not read: the caller its response, or the endpoint the body. */
--- a/src/core/memoryBounds/memoryGuard.ts
+++ b/src/core/memoryBounds/memoryGuard.ts
@@ -3,7 +3,15 @@
 import type { PartLog } from "../../utils/log.js";
 import type { Metrics } from "../metrics.js";
 import { HeldBytes, HeldKind, type HeldRequest } from "./heldBytes.js";
-import { boundOf, chooseAtBound, chooseStalled, exceedsAdmission, exceedsBound } from "./memoryBound.js";
+import {
+    boundOf,
+    chooseArriving,
+    chooseAtBound,
+    chooseLateArrival,
+    chooseStalled,
+    exceedsAdmission,
+    exceedsBound,
+} from "./memoryBound.js";
 import { createMemoryFailure, RequestMemory } from "./requestMemory.js";
 
 /** How often the process's own use is measured. It grows with the load by several times of what it is at the start. */
@@ -26,8 +34,10 @@
     log: PartLog;
     metrics: Metrics;
     memory: InstanceMemory;
-    /** Whether the bytes of new requests are bounded. */
-    isOn: () => boolean;
+    /** Whether the bytes of new requests are bounded; true by default. */
+    isOn?: () => boolean;
+    /** Size of the largest body that callers may send; 0 by default. */
+    largestBodyBytes?: () => number;
 }
 
 /** Why a request is ended. */
@@ -35,6 +45,8 @@
     Bound = "bound",
     /** A new request needs the memory, and the peer has read nothing for some time. */
     Stalled = "stalled",
+    /** A new request needs the memory, and the body stands still or arrives slowly. */
+    Late = "late",
 }
 
 /** Counts buffered bytes, rejects new requests and ends requests. */
@@ -58,14 +70,20 @@
     /** Begins to count the bytes of a new request; undefined where they are not bounded. */
     open(id: string): RequestMemory | undefined {
         const { clock, memory, isOn } = this.dependencies;
-        if (memory.limitBytes === 0 || !isOn()) {
+        if (memory.limitBytes === 0 || isOn?.() === false) {
             return undefined;
         }
         this.updateBound();
         const request = this.held.open(id, clock.now());
         const requestMemory = new RequestMemory({
-            admit: bodyBytes => this.admit(bodyBytes),
+            admit: bodyBytes => this.admit(request, bodyBytes),
             onChange: (kind, difference) => this.record(request, kind, difference),
+            onArriving: () => {
+                request.arrivedAt = clock.now();
+            },
+            onArrived: () => {
+                request.isArriving = false;
+            },
             onClosed: () => this.close(request),
         });
         this.memoryByRequest.set(request, requestMemory);
@@ -80,15 +98,18 @@
             return;
         }
         const ownBytes = memory.residentBytes() - this.held.total;
-        this.bound = { bytes: boundOf(memory.limitBytes, ownBytes), computedAt: now };
+        const largestBodyBytes = this.dependencies.largestBodyBytes?.() ?? 0;
+        this.bound = { bytes: boundOf(memory.limitBytes, ownBytes, largestBodyBytes), computedAt: now };
     }
 
-    /** Rejects a new request at the bound for new requests, unless ending stalled requests leaves enough memory. */
-    private admit(bodyBytes: number): void {
+    /** Rejects a new request at the bound for new requests, unless ending stalled or late requests leaves enough memory. */
+    private admit(request: HeldRequest, bodyBytes: number): void {
         const { clock, metrics } = this.dependencies;
         while (exceedsAdmission(this.held.total, bodyBytes, this.boundBytes)) {
-            const stalled = chooseStalled(this.held.all, clock.now());
-            if (!stalled) {
+            const others = [...this.held.all].filter(other => other !== request);
+            const stalled = chooseStalled(others, clock.now());
+            const chosen = stalled ?? chooseLateArrival(others, bodyBytes, clock.now());
+            if (!chosen) {
                 metrics.count("memory_rejections_total");
                 throw createMemoryFailure(
                     `the entry buffers ${this.held.total} of ${
@@ -96,7 +117,7 @@
                     } bytes for requests in progress`,
                 );
             }
-            this.end(stalled, EndReason.Stalled);
+            this.end(chosen, stalled ? EndReason.Stalled : EndReason.Late);
         }
     }
 
@@ -104,7 +125,8 @@
         this.held.change(request, kind, difference, this.dependencies.clock.now());
         this.updateBound();
         while (difference > 0 && exceedsBound(this.held.total, this.boundBytes)) {
-            const chosen = chooseAtBound(this.held.all, this.dependencies.clock.now());
+            const choose = kind === HeldKind.Head ? chooseArriving : chooseAtBound;
+            const chosen = choose(this.held.all, this.dependencies.clock.now());
             if (!chosen) {
                 return;
             }
@@ -117,7 +139,10 @@
         const now = clock.now();
         const reader = request.of(HeldKind.Unsent) > request.of(HeldKind.Unwritten) ? "endpoint" : "caller";
         metrics.count("memory_ended_total", `reader="${reader}",reason="${reason}"`);
-        log.warn("A request is ended, because its data stays unread.", {
+        const message = request.isArriving
+            ? "A request is ended, because its body takes memory and hasn't arrived."
+            : "A request is ended, because its data stays unread.";
+        log.warn(message, {
             requestId: request.id,
             reason,
             reader,
@@ -125,6 +150,7 @@
             unreadBytes: request.waiting,
             unreadFor: request.waitingSince === undefined ? undefined : Math.round(now - request.waitingSince),
             sinceLastRead: Math.round(now - request.progressAt),
+            sinceLastArrival: request.isArriving ? Math.round(now - request.arrivedAt) : undefined,
             bufferedBytes: this.held.total,
             boundBytes: Math.round(this.boundBytes),
         });
--- a/src/core/memoryBounds/requestMemory.ts
+++ b/src/core/memoryBounds/requestMemory.ts
@@ -19,6 +19,10 @@
     admit: (bodyBytes: number) => void;
     /** Changes the number of buffered bytes of one kind by `difference`. */
     onChange: (kind: HeldKind, difference: number) => void;
+    /** A part of the body has arrived. */
+    onArriving: () => void;
+    /** The whole body has arrived. */
+    onArrived: () => void;
     onClosed: () => void;
 }
 
@@ -43,6 +47,16 @@
         this.listeners.onChange(kind, difference);
     }
 
+    /** Records that a part of the body has arrived. */
+    recordArriving(): void {
+        this.listeners.onArriving();
+    }
+
+    /** Records that the whole body has arrived, and that the request runs from now on. */
+    recordArrived(): void {
+        this.listeners.onArrived();
+    }
+
     /** Ends the request because of the bound. */
     end(): void {
         abortQuietly(this.endController);
