Requests in a row on one connection run one after another, and a bounded number waits

What callers saw: 60 connections that send requests one behind another ended the process within two seconds, out of heap, whether their answers were read or not; with requests that take long it opened 2,506 connections to endpoints before.

Cause: Node hands over every request that it parses, also behind one in progress, and each was served at once: a connection had as many tasks and connections to endpoints as its client had sent requests, 360 for each 64 kB.

Fix: a request behind another one is served once the responses before it are complete, which changes nothing in the order of the answers. At most 32 requests of a connection and 2,048 of all wait; the connection that exceeds this is closed. Requests that wait count in the account of buffered bytes from their arrival, and their work in the turn that all connections share.

--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -5,19 +5,35 @@
 import { holdReading } from "../../utils/heldReading.js";
 import type { LingeringCloser } from "./lingeringClose.js";
 
+/** Requests that may wait for their answers on one connection, and behind others on all connections. */
+const maximumRequestsInRow = 32;
+const maximumWaitingRequests = 2_048;
 /** How long the first request of a new connection may be on its way. */
 const firstRequestTimeout: Milliseconds = 500;
 /** The smallest usual receive buffer. Of larger responses, the operating system may still hold a part that the caller hasn't got. */
 const maximumReceivedBytes = 16 * 1024;
 
+/** Counts the requests that wait behind others on the connections of all callers. */
+export class WaitingRequests {
+    count = 0;
+
+    get isFull(): boolean {
+        return this.count >= maximumWaitingRequests;
+    }
+}
+
 /** The connection of a caller. */
 export class CallerConnection {
+    /** Begins to serve the requests that wait behind another one. Run at once, they would take memory without a bound. */
+    private waitingStarts: (() => void)[] = [];
     /** Responses that the system hasn't taken over completely, in the order of their requests. */
     private readonly openResponses = new Set<ServerResponse>();
     /** The newest request, until it is answered. */
     private newest: { request: IncomingMessage; response: ServerResponse; } | undefined;
     /** Whether no further request is served. */
     private hasAnnouncedClose = false;
+    /** Whether the connection was closed because too many requests waited. */
+    hasTooManyRequests = false;
     /** What the connection ends with once the responses in progress are complete. */
     private finalBytes: string | undefined;
     /** Goes on with the reading after {@link holdReading}. */
@@ -33,7 +49,9 @@
         private readonly socket: Socket,
         private readonly closer: LingeringCloser,
         private readonly clock: Clock,
+        private readonly waitingRequests: WaitingRequests,
     ) {
+        socket.once("close", () => this.dropWaiting());
         this.openedAt = clock.now();
         // Node calls this function after the last response of a connection.
         socket.destroySoon = () => closer.close(socket);
@@ -41,12 +59,19 @@
 
     /**
      * Records a request and its response. Returns whether the request is served: behind a response that announces the close of
-     * the connection, it would run without an answer.
+     * the connection, it would run without an answer. Closes the connection when too many requests wait.
      */
     recordRequest(request: IncomingMessage, response: ServerResponse): boolean {
         if (this.hasAnnouncedClose) {
             return false;
         }
+        const waits = this.openResponses.size > 0;
+        if (this.openResponses.size >= maximumRequestsInRow || (waits && this.waitingRequests.isFull)) {
+            this.hasAnnouncedClose = true;
+            this.hasTooManyRequests = true;
+            this.socket.destroy();
+            return false;
+        }
         this.newest = { request, response };
         this.bytesWrittenBefore = this.socket.bytesWritten;
         this.openResponses.add(response);
@@ -54,6 +79,21 @@
         return true;
     }
 
+    /** Calls `start` once the responses to the requests before are complete, at once if there are none. */
+    startInTurn(start: () => void): void {
+        if (this.openResponses.size <= 1) {
+            start();
+            return;
+        }
+        this.waitingStarts.push(start);
+        this.waitingRequests.count++;
+    }
+
+    /** Whether requests wait behind another one. */
+    get hasWaitingRequests(): boolean {
+        return this.openResponses.size > 1;
+    }
+
     /** Whether the entry has ended its side, and reads no further request. */
     get isClosing(): boolean {
         return this.closer.isWaiting(this.socket);
@@ -135,9 +175,23 @@
         if (response === this.newest?.response) {
             this.newest = undefined;
         }
+        this.startNext();
         this.writeFinalBytes();
     }
 
+    private startNext(): void {
+        const start = this.waitingStarts.shift();
+        if (start) {
+            this.waitingRequests.count--;
+            start();
+        }
+    }
+
+    private dropWaiting(): void {
+        this.waitingRequests.count -= this.waitingStarts.length;
+        this.waitingStarts = [];
+    }
+
     private writeFinalBytes(): void {
         const { socket, finalBytes } = this;
         if (finalBytes === undefined || this.openResponses.size > 0 || !socket.writable) {
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -17,7 +17,7 @@
 import { abortQuietly } from "../../utils/signal.js";
 import { TurnShare } from "../../utils/turnShare.js";
 import { problemOf } from "../callers/problem.js";
-import { CallerConnection } from "./callerConnection.js";
+import { CallerConnection, WaitingRequests } from "./callerConnection.js";
 import { CallerWriter } from "./callerWriter.js";
 import type { ForwardingWire } from "./forwardingWire.js";
 import { LingeringCloser } from "./lingeringClose.js";
@@ -35,6 +35,8 @@
 const requestLineOverheadBytes = 16;
 /** What a body without an announced length is expected to take, in bytes, until it has arrived. */
 const unannouncedBodyBytes = 512 * 1024;
+/** Work that a request behind another one causes when it arrives, in bytes (see {@link TurnShare}). */
+const waitingRequestCost = 4 * 1024;
 /** Memory that the objects of a request take, without its head and body. */
 const exchangeBytes = 8 * 1024;
 /** Memory that the head of a request takes, as a multiple of its bytes: its texts, their copies, and the lists of them. */
@@ -66,6 +68,8 @@
     private readonly closer: LingeringCloser;
     private readonly unparsedRequests: UnparsedRequests;
     private readonly share = new TurnShare();
+    private readonly waitingRequests = new WaitingRequests();
+    private readonly closedForRequests = new WeakSet<CallerConnection>();
 
     constructor(private readonly dependencies: CallerPortDependencies) {
         const { clock, memoryBytes } = dependencies;
@@ -84,7 +88,8 @@
         this.server.on("clientError", (error, socket) => this.unparsedRequests.reject(error, socket as Socket));
         this.server.on("connect", (...[, stream]) => this.unparsedRequests.rejectTunnel(stream as Socket));
         this.server.on("connection", socket => {
-            this.connectionBySocket.set(socket, new CallerConnection(socket, this.closer, dependencies.clock));
+            const connection = new CallerConnection(socket, this.closer, clock, this.waitingRequests);
+            this.connectionBySocket.set(socket, connection);
             if (this.share.isSpent) {
                 socket.pause();
                 this.share.enqueueNew(() => socket.resume());
@@ -161,30 +166,49 @@
     private handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
         const connection = this.connectionBySocket.get(request.socket);
         if (!connection?.recordRequest(request, response)) {
-            this.dependencies.log.info("A request came after the last answer of its connection.", {
-                requestId: this.dependencies.wire.readRequest(request.rawHeaders).id,
-            });
+            this.recordDropped(request, connection);
             return;
         }
-        this.serve(request, response, connection).catch(error => {
+        if (connection.hasWaitingRequests) {
+            this.share.spend(waitingRequestCost);
+        }
+        const fail = (error: unknown) => {
             const stack = error instanceof Error ? error.stack : undefined;
             this.dependencies.log.error("A request's handling has thrown.", { error: describeError(error), stack });
             endWithInternalError(response);
-        });
+        };
+        try {
+            const exchange = this.openExchange(request, response, connection);
+            if (exchange) {
+                connection.startInTurn(() => void this.serve(exchange).catch(fail));
+            }
+        }
+        catch (error) {
+            fail(error);
+        }
     }
 
-    private async serve(
-        request: http.IncomingMessage,
-        response: http.ServerResponse,
-        connection: CallerConnection,
-    ): Promise<void> {
-        const exchange = this.openExchange(request, response, connection);
-        if (exchange) {
-            await this.dependencies.serve(exchange);
-            exchange.releaseBody();
+    /** Logs a request that isn't served; the first one alone where there may be thousands of them. */
+    private recordDropped(request: http.IncomingMessage, connection: CallerConnection | undefined): void {
+        const { log, wire } = this.dependencies;
+        if (!connection?.hasTooManyRequests) {
+            log.info("A request came after the last answer of its connection.", {
+                requestId: wire.readRequest(request.rawHeaders).id,
+            });
+            return;
+        }
+        this.share.spend(waitingRequestCost);
+        if (!this.closedForRequests.has(connection)) {
+            this.closedForRequests.add(connection);
+            log.warn("A connection is closed, because too many requests wait on it.");
         }
     }
 
+    private async serve(exchange: HttpExchange): Promise<void> {
+        await this.dependencies.serve(exchange);
+        exchange.releaseBody();
+    }
+
     /** Creates the exchange of a request, or rejects the request at once when its head is invalid. */
     private openExchange(
         request: http.IncomingMessage,
