Each port has a bound on its connections, below the descriptors of the process

What was seen: 1,000 clients that open connections and send nothing, or an unfinished head, took 1,029 descriptors where 400 are allowed, on each of the four ports; at the instance's own limit entries have none left for endpoints, peers and the store. 60 connections with requests in a row for the metrics, or with queries of entries in chunks of a byte, ended the process out of heap.

Cause: no port bounded its connections. The small servers answered every request of a read at once, read a rejected body on to its end, and kept the connections of refused CONNECT requests half open.

Fix: the platform's limit on descriptors ([instance] maximumDescriptors, 4,200 by default) is divided: 35% for callers, 10% for queries of entries, 12.8% for carried connections, 2% each for readiness checks and metrics; what is left is for endpoints and the store, a connection for each caller's. At its bound a port closes a connection for a new one: first one whose last answer is sent, then one without a request, one that waits for its next request, and one whose body is arriving, always that whose last use is the longest ago. A connection whose request runs isn't closed. The small servers take 16 requests in a row, and close a connection whose body they don't read.

--- a/__tests__/forwarding/settings.test.ts
+++ b/__tests__/forwarding/settings.test.ts
@@ -51,6 +51,8 @@
     const settings = parseFilledTemplate({ "limits.memory_mb": "384", contracts: "pressure, other" });
     expect([settings.instance.memoryMegabytes, settings.contracts.names]).toEqual([384, ["pressure", "other"]]);
     expect(parseFilledTemplate().instance.memoryMegabytes).toBe(0);
+    expect(parseFilledTemplate().instance.maximumDescriptors).toBe(4_200);
+    expect(parseFilledTemplate({ "limits.max_fds": "900" }).instance.maximumDescriptors).toBe(900);
     expect(() => parseFilledTemplate({ "limits.memory_mb": "much" })).toThrow("[instance] memoryMegabytes");
 });
 
--- a/__tests__/forwarding/support/site.ts
+++ b/__tests__/forwarding/support/site.ts
@@ -196,7 +196,13 @@
         door.refusal = options.refusal ?? Refusal.None;
         door.delay = options.delay ?? 0;
         const settings: ForwardingSettings = {
-            instance: { id, dataCentre: "north-a", processors: 1, memoryMegabytes: options.memoryMegabytes ?? 0 },
+            instance: {
+                id,
+                dataCentre: "north-a",
+                processors: 1,
+                memoryMegabytes: options.memoryMegabytes ?? 0,
+                maximumDescriptors: 4_200,
+            },
             contracts: { names: options.contracts ?? [] },
             listen: {
                 callers: "127.0.0.1:0",
--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -1,6 +1,7 @@
 /** The requests of one connection of a caller: which of them are served, and when the connection may be closed. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { ConnectionUse, type TableConnection } from "../../core/connectionBounds/connectionTable.js";
 import type { Clock, Milliseconds } from "../../utils/clock.js";
 import { holdReading } from "../../utils/heldReading.js";
 import type { LingeringCloser } from "./lingeringClose.js";
@@ -23,13 +24,14 @@
 }
 
 /** The connection of a caller. */
-export class CallerConnection {
+export class CallerConnection implements TableConnection {
     /** Begins to serve the requests that wait behind another one. Run at once, they would take memory without a bound. */
     private waitingStarts: (() => void)[] = [];
     /** Responses that the system hasn't taken over completely, in the order of their requests. */
     private readonly openResponses = new Set<ServerResponse>();
     /** The newest request, until it is answered. */
     private newest: { request: IncomingMessage; response: ServerResponse; } | undefined;
+    private hasHadRequest = false;
     /** Whether no further request is served. */
     private hasAnnouncedClose = false;
     /** Whether the connection was closed because too many requests waited. */
@@ -72,6 +74,7 @@
             this.socket.destroy();
             return false;
         }
+        this.hasHadRequest = true;
         this.newest = { request, response };
         this.bytesWrittenBefore = this.socket.bytesWritten;
         this.openResponses.add(response);
@@ -94,6 +97,20 @@
         return this.openResponses.size > 1;
     }
 
+    get use(): ConnectionUse {
+        if (this.isClosing) {
+            return ConnectionUse.Ending;
+        }
+        if (this.openResponses.size === 0) {
+            return this.hasHadRequest ? ConnectionUse.Idle : ConnectionUse.Unused;
+        }
+        return this.newest?.request.complete === false ? ConnectionUse.Arriving : ConnectionUse.Busy;
+    }
+
+    close(): void {
+        this.socket.destroy();
+    }
+
     /** Whether the entry has ended its side, and reads no further request. */
     get isClosing(): boolean {
         return this.closer.isWaiting(this.socket);
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -2,6 +2,7 @@
 import http from "node:http";
 import net, { type AddressInfo, type Socket } from "node:net";
 import type { RouteTable } from "../../core/configuration/routeTable.js";
+import { ConnectionTable } from "../../core/connectionBounds/connectionTable.js";
 import { Execution, FailureKind, RequestFailure } from "../../core/failures.js";
 import { HeldKind } from "../../core/memoryBounds/heldBytes.js";
 import type { MemoryGuard } from "../../core/memoryBounds/memoryGuard.js";
@@ -57,6 +58,8 @@
     queuesUnreadResponses?: () => boolean;
     /** Memory that the process may use; 0, the default, where it is unknown. */
     memoryBytes?: number;
+    /** Connections that may be open at the same time; not bounded by default. */
+    maximumConnections?: number;
     /** Whether this entry is stopping, so that callers should close their connections. */
     isStopping: () => boolean;
 }
@@ -68,11 +71,13 @@
     private readonly closer: LingeringCloser;
     private readonly unparsedRequests: UnparsedRequests;
     private readonly share = new TurnShare();
+    private readonly table: ConnectionTable;
     private readonly waitingRequests = new WaitingRequests();
     private readonly closedForRequests = new WeakSet<CallerConnection>();
 
     constructor(private readonly dependencies: CallerPortDependencies) {
         const { clock, memoryBytes } = dependencies;
+        this.table = new ConnectionTable(dependencies.maximumConnections ?? Infinity);
         this.closer = new LingeringCloser({ clock, memoryBytes, share: this.share });
         this.unparsedRequests = new UnparsedRequests(dependencies.log, socket => this.connectionBySocket.get(socket));
         this.server = http.createServer({
@@ -89,12 +94,19 @@
         this.server.on("connect", (...[, stream]) => this.unparsedRequests.rejectTunnel(stream as Socket));
         this.server.on("connection", socket => {
             const connection = new CallerConnection(socket, this.closer, clock, this.waitingRequests);
+            if (!this.table.add(connection)) {
+                socket.destroy();
+                return;
+            }
             this.connectionBySocket.set(socket, connection);
             if (this.share.isSpent) {
                 socket.pause();
                 this.share.enqueueNew(() => socket.resume());
             }
-            socket.once("close", () => this.connectionBySocket.delete(socket));
+            socket.once("close", () => {
+                this.table.remove(connection);
+                this.connectionBySocket.delete(socket);
+            });
         });
     }
 
@@ -169,6 +181,7 @@
             this.recordDropped(request, connection);
             return;
         }
+        this.table.recordUse(connection);
         if (connection.hasWaitingRequests) {
             this.share.spend(waitingRequestCost);
         }
--- a/src/adapters/forwarding/entrySettings.ts
+++ b/src/adapters/forwarding/entrySettings.ts
@@ -30,6 +30,7 @@
 const defaultGraceSeconds = 8;
 const defaultProcessors = 1;
 const unknownMemoryMegabytes = 0;
+const defaultMaximumDescriptors = 4_200;
 
 /** Schema of the settings file. */
 export const forwardingSettingsSchema = z.strictObject({
@@ -40,6 +41,8 @@
         processors: numberOrDefault(defaultProcessors).default(defaultProcessors),
         /** Memory that this instance may use; 0 where the platform sets no limit, and buffered data is then not bounded. */
         memoryMegabytes: knownNumberOrDefault(unknownMemoryMegabytes).default(unknownMemoryMegabytes),
+        /** Descriptors that this process may have open. */
+        maximumDescriptors: knownNumberOrDefault(defaultMaximumDescriptors).default(defaultMaximumDescriptors),
     }),
     /** What the platform announces about its callers and endpoints, in its own words, separated by commas. */
     contracts: z.strictObject({ names: setting.list() }).default({ names: [] }),
--- a/src/adapters/forwarding/forwardingEntry.ts
+++ b/src/adapters/forwarding/forwardingEntry.ts
@@ -5,6 +5,7 @@
 import { setMaxListeners } from "node:events";
 import type { ActiveConfiguration } from "../../core/configuration/activeConfiguration.js";
 import { StateFollower } from "../../core/configuration/stateFollower.js";
+import { type DescriptorBudget, divideDescriptors } from "../../core/connectionBounds/descriptorBudget.js";
 import { EntryCore } from "../../core/entryCore.js";
 import type { PlannedStop } from "../../core/forwarding/forwardingDependencies.js";
 import type { EndpointDirectory } from "../../core/membership/endpointDirectory.js";
@@ -26,6 +27,7 @@
 import type { PartLog } from "../../utils/log.js";
 import { type Random, randomIdentifier } from "../../utils/random.js";
 import { listenOnSamePort } from "../../utils/samePort.js";
+import { boundServer } from "./boundedServer.js";
 import { CallerPort } from "./callerPort.js";
 import { EndpointClient } from "./endpointClient.js";
 import type { ForwardingSettings } from "./entrySettings.js";
@@ -100,6 +102,7 @@
     private readonly self: PeerIdentity;
     private readonly peerSocket: PeerSocket;
     private readonly log: PartLog;
+    private readonly descriptors: DescriptorBudget;
     private readonly closeController = new AbortController();
     private readinessListener: Listener | undefined;
     private metricsListener: Listener | undefined;
@@ -116,6 +119,7 @@
         setMaxListeners(0, this.closeController.signal);
         const { clock, random, wire, log } = dependencies;
         this.log = log("entry");
+        this.descriptors = divideDescriptors(settings.instance.maximumDescriptors);
         const { instance, listen } = settings;
         const { dataCentre } = instance;
         this.self = { id: instance.id, address: listen.peers, incarnation: randomIdentifier(random) };
@@ -135,6 +139,7 @@
             publishesPlacements: settings.placement.shared,
             scheduling: () => this.settings.scheduling,
             processors: instance.processors,
+            maximumCarriedConnections: this.descriptors.carried,
             memory: {
                 limitBytes: instance.memoryMegabytes * bytesPerMegabyte,
                 residentBytes: () => process.memoryUsage.rss(),
@@ -192,6 +197,7 @@
             memoryGuard: this.core.memoryGuard,
             queuesUnreadResponses: this.core.queuesUnreadResponses,
             memoryBytes: instance.memoryMegabytes * bytesPerMegabyte,
+            maximumConnections: this.descriptors.callers,
             isStopping: () => this.plannedStop !== undefined,
         });
         this.configuration.onChange(routes => this.callerPort.applyLimits(routes));
@@ -238,14 +244,18 @@
     /** Starts listening and following the store; resolves with the actual addresses. */
     async start(): Promise<{ callers: string; readiness: string; peers: string; metrics: string; }> {
         const { listen, instance } = this.settings;
+        const { descriptors } = this;
         this.readinessListener = await serveReadiness(listen.readiness, () => this.isReady);
+        boundServer(this.readinessListener.server, descriptors.readiness);
         this.metricsListener = await serveMetrics(listen.metrics, () => this.core.metrics.text(this.gauges()));
+        boundServer(this.metricsListener.server, descriptors.metrics);
         this.peerStateListener = await listenOnSamePort(
             listen.peers,
             address =>
                 servePeerState(address, this.peerStateSource, this.dependencies.clock, this.dependencies.log("peers")),
             address => this.peerSocket.listen(address),
         );
+        boundServer(this.peerStateListener.server, descriptors.peers);
         this.self.address = this.peerStateListener.address;
         this.resetCarriedConnections = serveRelay(this.peerStateListener.server, {
             clock: this.dependencies.clock,
--- a/src/adapters/forwarding/relayServer.ts
+++ b/src/adapters/forwarding/relayServer.ts
@@ -134,6 +134,8 @@
 
     private answer(status: RelayStatus): void {
         if (this.entrySocket.writable) {
+            // Its side may stay open, and nothing reads from this connection any more.
+            this.entrySocket.once("finish", () => this.entrySocket.destroy());
             this.entrySocket.end(`HTTP/1.1 ${status} \r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
         }
     }
--- a/src/core/entryCore.ts
+++ b/src/core/entryCore.ts
@@ -80,6 +80,8 @@
     processors?: number;
     /** Memory of this entry's instance; without it, buffered bytes are not bounded. */
     memory?: InstanceMemory;
+    /** Connections of other entries that are carried at the same time. */
+    maximumCarriedConnections?: number;
     /** Whether the platform announces callers and endpoints that read slowly. */
     expectsSlowReaders?: () => boolean;
     retryLimits: () => RetryLimits;
@@ -266,7 +268,7 @@
         });
         this.links.onChange = () => this.peers.publishEndpointReport();
         const relays = new Relays({ clock, random, dataCentre, livingPeers: () => this.peers.livingPeers() });
-        this.relayGuard = new RelayGuard(this.links, directory, eligibility);
+        this.relayGuard = new RelayGuard(this.links, directory, eligibility, dependencies.maximumCarriedConnections);
         const checker = new EndpointChecker(clock, dependencies.endpointPort, this.links, relays);
         const crashDetector = new CrashDetector({
             clock,
--- a/src/core/reachability/relayGuard.ts
+++ b/src/core/reachability/relayGuard.ts
@@ -5,8 +5,8 @@
 import type { Eligibility } from "../placement/eligibility.js";
 import type { LinkTracker } from "./linkTracker.js";
 
-/** Connections that this entry carries at the same time. Beyond them its own callers would wait. */
-const maximumConnections = 256;
+/** Connections that this entry carries at the same time by default. Beyond them its own callers would wait. */
+const defaultMaximumConnections = 256;
 
 /** The endpoint to which another entry wants a connection. */
 export interface RelayTarget {
@@ -23,6 +23,7 @@
         private readonly links: LinkTracker,
         private readonly directory: EndpointDirectory,
         private readonly eligibility: Eligibility,
+        private readonly maximumConnections = defaultMaximumConnections,
     ) {}
 
     /**
@@ -31,7 +32,7 @@
      */
     admit({ endpoint: id, address }: RelayTarget): EndpointRecord | undefined {
         const endpoint = this.directory.get(id);
-        if (!endpoint || endpoint.record.address !== address || this.openConnections >= maximumConnections) {
+        if (!endpoint || endpoint.record.address !== address || this.openConnections >= this.maximumConnections) {
             return undefined;
         }
         const mayConnect = this.eligibility.isStillEligible(endpoint) && !this.links.isLost(endpoint.record);
