A connection with too many requests in a row ends within the read that brings them

What callers saw: 60 connections that send the smallest requests one behind another, each on a new connection once it is closed, ended the process out of heap within two seconds.

Cause: Node parses the whole of a read, up to 3,640 requests in 64 kB, and keeps the objects of each until the connection has closed. The first of these requests is rejected, which announces the close of the connection; those behind it aren't served, and nothing counted them.

Fix: requests behind an announced close count like those that wait, and a request beyond the bound tells Node's parser that it switches protocols. The parser stops there, and Node closes the connection, as nobody takes it over. Neither `socket.destroy()` nor a pause of the parser takes effect before the end of the read.

--- a/src/adapters/forwarding/callerConnection.ts
+++ b/src/adapters/forwarding/callerConnection.ts
@@ -34,8 +34,8 @@
     private hasHadRequest = false;
     /** Whether no further request is served. */
     private hasAnnouncedClose = false;
-    /** Whether the connection was closed because too many requests waited. */
-    hasTooManyRequests = false;
+    /** Requests behind the announced close. */
+    private unservedCount = 0;
     /** What the connection ends with once the responses in progress are complete. */
     private finalBytes: string | undefined;
     /** Goes on with the reading after {@link holdReading}. */
@@ -61,17 +61,11 @@
 
     /**
      * Records a request and its response. Returns whether the request is served: behind a response that announces the close of
-     * the connection, it would run without an answer. Closes the connection when too many requests wait.
+     * the connection, it would run without an answer.
      */
     recordRequest(request: IncomingMessage, response: ServerResponse): boolean {
         if (this.hasAnnouncedClose) {
-            return false;
-        }
-        const waits = this.openResponses.size > 0;
-        if (this.openResponses.size >= maximumRequestsInRow || (waits && this.waitingRequests.isFull)) {
-            this.hasAnnouncedClose = true;
-            this.hasTooManyRequests = true;
-            this.socket.destroy();
+            this.unservedCount++;
             return false;
         }
         this.hasHadRequest = true;
@@ -92,6 +86,12 @@
         this.waitingRequests.count++;
     }
 
+    /** Whether no further request may wait on this connection. */
+    get isFull(): boolean {
+        const openCount = this.openResponses.size;
+        return openCount + this.unservedCount >= maximumRequestsInRow || (openCount > 0 && this.waitingRequests.isFull);
+    }
+
     /** Whether requests wait behind another one. */
     get hasWaitingRequests(): boolean {
         return this.openResponses.size > 1;
--- a/src/adapters/forwarding/callerPort.ts
+++ b/src/adapters/forwarding/callerPort.ts
@@ -18,6 +18,7 @@
 import { abortQuietly } from "../../utils/signal.js";
 import { TurnShare } from "../../utils/turnShare.js";
 import { problemOf } from "../callers/problem.js";
+import { createBoundedMessage } from "./boundedMessage.js";
 import { CallerConnection, WaitingRequests } from "./callerConnection.js";
 import { CallerWriter } from "./callerWriter.js";
 import type { ForwardingWire } from "./forwardingWire.js";
@@ -73,7 +74,6 @@
     private readonly share = new TurnShare();
     private readonly table: ConnectionTable;
     private readonly waitingRequests = new WaitingRequests();
-    private readonly closedForRequests = new WeakSet<CallerConnection>();
 
     constructor(private readonly dependencies: CallerPortDependencies) {
         const { clock, memoryBytes } = dependencies;
@@ -89,6 +89,7 @@
             keepAliveTimeout: defaultIdleTimeout,
             // Node's own rejection closes the connection beside later requests, which run.
             requireHostHeader: false,
+            IncomingMessage: createBoundedMessage(socket => this.isRejected(socket)),
         }, (request, response) => this.handleRequest(request, response));
         this.server.on("clientError", (error, socket) => this.unparsedRequests.reject(error, socket as Socket));
         this.server.on("connect", (...[, stream]) => this.unparsedRequests.rejectTunnel(stream as Socket));
@@ -178,7 +179,9 @@
     private handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
         const connection = this.connectionBySocket.get(request.socket);
         if (!connection?.recordRequest(request, response)) {
-            this.recordDropped(request, connection);
+            this.dependencies.log.info("A request came after the last answer of its connection.", {
+                requestId: this.dependencies.wire.readRequest(request.rawHeaders).id,
+            });
             return;
         }
         this.table.recordUse(connection);
@@ -201,20 +204,13 @@
         }
     }
 
-    /** Logs a request that isn't served; the first one alone where there may be thousands of them. */
-    private recordDropped(request: http.IncomingMessage, connection: CallerConnection | undefined): void {
-        const { log, wire } = this.dependencies;
-        if (!connection?.hasTooManyRequests) {
-            log.info("A request came after the last answer of its connection.", {
-                requestId: wire.readRequest(request.rawHeaders).id,
-            });
-            return;
-        }
-        this.share.spend(waitingRequestCost);
-        if (!this.closedForRequests.has(connection)) {
-            this.closedForRequests.add(connection);
-            log.warn("A connection is closed, because too many requests wait on it.");
+    /** Whether a request that comes now on `socket` ends its connection. */
+    private isRejected(socket: Socket): boolean {
+        const isFull = this.connectionBySocket.get(socket)?.isFull ?? false;
+        if (isFull) {
+            this.dependencies.log.warn("A connection is closed, because too many requests wait on it.");
         }
+        return isFull;
     }
 
     private async serve(exchange: HttpExchange): Promise<void> {
