--- a/__tests__/scheduling/memoryBounds.test.ts
+++ b/__tests__/scheduling/memoryBounds.test.ts
@@ -7,7 +7,13 @@
 import { BlockQueue } from "../../src/adapters/forwarding/blockQueue.js";
 import { Execution, FailureKind } from "../../src/core/failures.js";
 import { HeldBytes, HeldKind } from "../../src/core/memoryBounds/heldBytes.js";
-import { boundOf, chooseAtBound, chooseStalled } from "../../src/core/memoryBounds/memoryBound.js";
+import {
+    boundOf,
+    chooseAtBound,
+    chooseLateArrival,
+    chooseStalled,
+    exceedsAdmission,
+} from "../../src/core/memoryBounds/memoryBound.js";
 import { MemoryGuard } from "../../src/core/memoryBounds/memoryGuard.js";
 import { Metrics } from "../../src/core/metrics.js";
 import { systemClock } from "../../src/utils/clock.js";
@@ -62,6 +68,35 @@
     expect([stuck.ended.aborted, next.ended.aborted, guard.heldBytes]).toEqual([true, false, 3 * megabyte]);
 });
 
+test("body that stands still, or drips, makes room for a new request, and one that arrives doesn't", () => {
+    // Guards against bodies that stop just short of their end and keep all other requests out.
+    const held = new HeldBytes();
+    const [standing, dripping, arriving] = [
+        held.open("standing", 0),
+        held.open("dripping", 0),
+        held.open("new", 1_900),
+    ];
+    for (const request of [standing, dripping, arriving]) {
+        held.change(request, HeldKind.Body, 4 * megabyte, request.openedAt);
+    }
+    dripping.arrivedAt = 2_100;
+    arriving.arrivedAt = 2_100;
+    expect(chooseLateArrival(held.all, 4 * megabyte, 2_200)).toBe(standing);
+    held.close(standing);
+    expect(chooseLateArrival(held.all, 4 * megabyte, 2_200)).toBeUndefined();
+    expect(chooseLateArrival(held.all, 2, 2_200)).toBe(dripping);
+    dripping.isArriving = false;
+    expect(chooseLateArrival(held.all, 2, 2_200)).toBeUndefined();
+});
+
+test("small request is admitted up to the bound, and one of the largest bodies fits where the memory is short", () => {
+    // Guards against ordinary requests that are refused because of the room that is kept for growth.
+    expect([exceedsAdmission(90, 2, 100), exceedsAdmission(99, 2, 100)]).toEqual([false, true]);
+    expect(exceedsAdmission(81 * megabyte, megabyte, 100 * megabyte)).toBe(true);
+    const boundBytes = boundOf(100 * megabyte, 80 * megabyte, 4 * megabyte);
+    expect(exceedsAdmission(0, 4 * megabyte, boundBytes)).toBe(false);
+});
+
 test("nothing is counted where the part is off or the memory is unknown", () => {
     expect([guardOf(false).open("r"), guardOf(true, 0).open("r")]).toEqual([undefined, undefined]);
     expect([boundOf(100, 60), boundOf(200 * megabyte, 100 * megabyte)]).toEqual([4 * megabyte, 25 * megabyte]);
