--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,6 +9,8 @@
         // Simulated time goes as fast as the machine allows; no check depends on this limit.
         testTimeout: 180_000,
         hookTimeout: 60_000,
+        // With a worker on each core, beside other load, the workers' calls to vitest itself time out and fail the run.
+        maxWorkers: "50%",
         projects: [
             {
                 extends: true,
@@ -16,8 +18,6 @@
                     name: "suite",
                     include: ["__tests__/**/*.test.ts"],
                     exclude: [crowdTests],
-                    // With a worker on each core, beside other load, the workers' calls to vitest itself time out and fail the run.
-                    maxWorkers: "50%",
                     sequence: { groupOrder: 0 },
                 },
             },
